--- /dev/null
+++ b/internal/dispatch/dispatch.go
@@ -0,0 +1,726 @@
+// Package dispatch decides where each work item (wi) goes, and when it is given up. It is size
+// interval task assignment (Turchetta and Gardner): bins by cost hint, lanes of kinds by speed,
+// a worker at random within the kind. docs/design.md says what was kept, changed and why.
+//
+// Make a Dispatcher with New(settings); call Round(now, in, out) whenever something came in. Round
+// calls in.Deliver(d), which calls the plain methods below (Arrived, Answered, Noticed, Listed, ...);
+// then it places what is held. Decisions go straight to out. The interface lives in port.go.
+package dispatch
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	sampleSize  = 512  // hints remembered for the cutoff
+	resetEvery  = 5000 // time between cutoff resets
+	kindPace    = 0.05 // smoothing of a kind's speed, for each answer
+	workerPace  = 0.25 // the same for a worker beside its kind
+	leakStep    = 0.02 // rise of the leak for each refusal of a slow worker
+	leakHalf    = 5000 // the leak halves in this time
+	trialFirst  = 500  // first time out of the draw after a failure; doubles with each in a row
+	coldBuckets = 8    // buckets of one fall window
+	forget      = 1e4  // a worker's own speed fades back to its kind's over this time
+)
+
+// A kind of worker with what was learned of it.
+type kind struct {
+	slow    float64 // log of running time over hint, smoothed
+	known   bool
+	slots   int     // most work items seen running at once on one worker
+	explore float64 // not before this time is one more than slots tried
+	lane    int     // 0: small bins, 1: large
+	speed   float64 // as of the last reset
+	weight  float64 // capacity as of the last reset
+}
+
+// A worker as this dispatcher sees it.
+type worker struct {
+	Entry
+	waiting int // own hand-offs not known to have started
+	running int
+	minGap  float64 // least time seen from hand-off to start notice
+	full    float64 // taken to be full until then
+	slow    float64 // log of its slowness beside its kind
+	slowAt  float64
+	fails   int // in a row
+	goods   int // in a row
+	outTill float64
+	stalled bool
+	sent    [coldBuckets + 1]float64 // cost sent to it, by buckets of the fall window
+	epoch   int
+	last    float64 // time of the last hand-off
+}
+
+// A handoff (ho) of one work item to one worker.
+type handoff struct {
+	w       *worker
+	sent    float64
+	started float64 // below 0: not known to have started
+	heard   float64 // last sign of life
+	done    bool
+	moved   bool // called off by this dispatcher
+}
+
+// An item is a work item with its hand-offs.
+type item struct {
+	WorkItem
+	cat    *Category
+	expiry float64
+	until  float64 // must end by then to be of use: the due time, or the expiry if late is worth something
+	late   bool    // until is the expiry
+	rank   float64 // credit that it earns for each unit of cost
+	hos    []handoff
+	out    int  // hand-offs outstanding
+	mayRan bool // an ended hand-off may have run
+	ended  bool // has its final answer
+	stream bool
+	held   bool
+}
+
+// Dispatcher decides for one submitter. Not for use from several goroutines at once.
+type Dispatcher struct {
+	s       Settings // the figures that decisions use
+	now     float64
+	out     Writer
+	mwc     uint64
+	workers []*worker
+	byID    map[string]*worker
+	kinds   []kind // one more than named, for workers of no known kind
+	items   map[uint64]*item
+	open    []*item // in order of arrival
+	held    []*item // by rank, then arrival
+	most    []float64
+	sample  []float64 // hints, a ring
+	sampled int
+	sorted  []float64
+	cutoff  float64
+	median  float64
+	mean    float64
+	resetAt float64
+	leak    float64
+	leakAt  float64
+	beatAt  float64
+	beat    float64
+	watched bool
+	asked   float64 // time of the last call to discovery
+	askGap  float64
+}
+
+// New makes a dispatcher that knows nothing yet.
+func New(s Settings) *Dispatcher {
+	d := &Dispatcher{s: s, byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
+		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
+		beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, askGap: s.AskWithin / 40}
+	for range 8 {
+		d.chance()
+	}
+	for k := range d.kinds {
+		d.kinds[k].slots = 1
+	}
+	return d
+}
+
+// chance draws from [0, 1) by multiply-with-carry.
+func (d *Dispatcher) chance() float64 {
+	d.mwc = 4294957665*(d.mwc&math.MaxUint32) + d.mwc>>32
+	return float64(uint32(d.mwc)) / (1 << 32)
+}
+
+// Round takes in what came in and decides. Nothing is decided outside it.
+func (d *Dispatcher) Round(now float64, in Inbox, out Writer) {
+	d.now, d.out = now, out
+	in.Deliver(d)
+	if now >= d.beatAt {
+		d.beatAt = now + d.beat
+		out.Timer(0, d.beat)
+		d.sweep()
+		d.ask()
+	}
+	if now >= d.resetAt {
+		d.reset()
+	}
+	d.place()
+}
+
+// TimerFired needs no more than the round it causes: the beat looks at the clock.
+func (d *Dispatcher) TimerFired(uint64) {}
+
+// Probed is heard out; probes are not sent.
+func (d *Dispatcher) Probed(string, bool, Load) {}
+
+// Heard is a sibling's message; none are sent.
+func (d *Dispatcher) Heard(int, []byte) {}
+
+// ask keeps the subscription to discovery alive. It asks again when a call failed, ever more
+// slowly, and when nothing was heard for long: a subscription may have died unseen.
+func (d *Dispatcher) ask() {
+	if !d.s.MustAsk {
+		return
+	}
+	gap := d.askGap
+	if d.watched {
+		gap = 3 * d.s.AskWithin
+	}
+	if d.asked < 0 || d.now-d.asked >= gap {
+		d.asked = d.now
+		d.out.Watch(true)
+	}
+}
+
+// Listed takes what discovery says.
+func (d *Dispatcher) Listed(form Form, entries []Entry) {
+	switch form {
+	case Unavailable: // guards against sending to workers whose drain nobody told
+		d.watched = false
+		d.askGap = min(2*d.askGap, d.s.AskWithin/2)
+		return
+	case Restored:
+	default:
+		if d.asked >= 0 {
+			d.watched, d.asked, d.askGap = true, d.now, d.s.AskWithin/40
+		}
+	}
+	if form != Changes {
+		for _, w := range d.workers {
+			w.State = Gone
+		}
+	}
+	for _, e := range entries {
+		w := d.byID[e.Worker]
+		if w == nil {
+			w = &worker{minGap: math.Inf(1), last: math.Inf(-1)}
+			d.byID[e.Worker] = w
+			d.workers = append(d.workers, w)
+		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
+			w.fails, w.outTill, w.slow, w.full, w.stalled = 0, 0, 0, 0, false
+		}
+		if e.Kind < 0 || e.Kind >= len(d.kinds) {
+			e.Kind = len(d.kinds) - 1
+		}
+		w.Entry = e
+	}
+	d.resetAt = d.now
+}
+
+// Arrived takes a new work item.
+func (d *Dispatcher) Arrived(wi WorkItem) {
+	it := &item{WorkItem: wi, cat: &d.s.Categories[wi.Category], expiry: d.now + wi.Left}
+	if wi.Hint > 0 {
+		if len(d.sample) < sampleSize {
+			d.sample = append(d.sample, wi.Hint)
+		} else {
+			d.sample[d.sampled%sampleSize] = wi.Hint
+		}
+		d.sampled++
+		if d.sampled&(d.sampled-1) == 0 { // early on, reset as the sample doubles
+			d.resetAt = d.now
+		}
+	} else if it.Hint = d.median; it.Hint == 0 {
+		it.Hint = it.cat.Due
+	}
+	// A retry counts from its first try: what is gone of the time that a first try has is past.
+	d.most[wi.Category] = max(d.most[wi.Category], wi.Left)
+	spent := d.most[wi.Category] - wi.Left
+	it.until = d.now - spent + min(it.cat.Due+it.cat.Stretch*it.Hint, it.cat.Expiry)
+	it.until = min(it.until, it.expiry)
+	it.rank = it.cat.Credit
+	d.items[wi.ID] = it
+	d.open = append(d.open, it)
+	d.hold(it)
+}
+
+// hold queues an item that has nothing out, by rank.
+func (d *Dispatcher) hold(it *item) {
+	if it.held || it.ended || it.out > 0 {
+		return
+	}
+	it.held = true
+	at := len(d.held)
+	for at > 0 && d.held[at-1].rank < it.rank {
+		at--
+	}
+	d.held = slices.Insert(d.held, at, it)
+}
+
+// Noticed takes a start or progress notice.
+func (d *Dispatcher) Noticed(wi uint64, ho int, start bool, _ float64) {
+	it := d.items[wi]
+	if it == nil || ho < 0 || ho >= len(it.hos) || it.hos[ho].done {
+		return
+	}
+	h := &it.hos[ho]
+	h.heard = d.now
+	h.w.stalled = false
+	if h.started >= 0 {
+		return
+	}
+	h.started = d.now
+	h.w.waiting--
+	h.w.running++
+	if !start { // the start notice was lost or is late; its gap tells nothing
+		return
+	}
+	// The gap from hand-off to start is the one direct sight of the worker's queue.
+	w, k, gap := h.w, &d.kinds[h.w.Kind], d.now-h.sent
+	w.minGap = min(w.minGap, gap)
+	if gap > d.grace(w) {
+		w.full = d.now + min(gap, d.span(w))
+		if w.running > k.slots {
+			k.explore = d.now + resetEvery
+		}
+	} else {
+		k.slots = max(k.slots, w.running)
+	}
+}
+
+// grace is how long a start notice may take from a worker with room.
+func (d *Dispatcher) grace(w *worker) float64 { return 2*min(w.minGap, d.beat) + 2*d.s.Grain }
+
+// span is the running time of a work item of mean cost on the worker.
+func (d *Dispatcher) span(w *worker) float64 { return d.mean * math.Exp(d.kinds[w.Kind].slow) }
+
+// Streaming marks an item whose answer has begun: it is the client's now and has no expiry.
+func (d *Dispatcher) Streaming(wi uint64, _ int) {
+	if it := d.items[wi]; it != nil {
+		it.stream = true
+	}
+}
+
+// Answered takes the end of a hand-off.
+func (d *Dispatcher) Answered(a Answer) {
+	it := d.items[a.WI]
+	if it == nil || a.HO < 0 || a.HO >= len(it.hos) || it.hos[a.HO].done {
+		return
+	}
+	h := &it.hos[a.HO]
+	h.done = true
+	it.out--
+	if h.started < 0 {
+		h.w.waiting--
+	} else {
+		h.w.running--
+	}
+	d.judge(it, h, a)
+	if a.Outcome != Finished && !a.Outcome.ProvesUnrun() {
+		it.mayRan = true
+	}
+	switch {
+	case it.ended:
+		d.drop(it)
+	case a.Final:
+		d.end(it)
+	case it.cat.Repeat == Exclusive && it.mayRan, d.now >= it.expiry:
+		d.giveUp(it)
+	default:
+		d.hold(it)
+	}
+}
+
+// judge learns from the end of a hand-off: speed from answers, sickness from failures in a row.
+func (d *Dispatcher) judge(it *item, h *handoff, a Answer) {
+	w, k := h.w, &d.kinds[h.w.Kind]
+	switch a.Outcome {
+	case Finished:
+		w.fails, w.outTill, w.full, w.stalled = 0, 0, 0, false
+		w.goods++
+		run := a.Spent
+		if h.started >= 0 {
+			run = d.now - h.started
+		} else if d.s.TellsStart {
+			return
+		}
+		// By logarithms, so that work far costlier than its hint moves the speed by little.
+		x := math.Log(max(run, d.s.Grain/2) / it.Hint)
+		if !k.known {
+			k.slow, k.known = x, true
+			return
+		}
+		w.slow = d.slowness(w)*(1-workerPace) + (x-k.slow)*workerPace
+		w.slowAt = d.now
+		k.slow += (x - k.slow) * kindPace
+	case Full:
+		w.full = d.now + d.span(w)
+		if k.lane == 1 { // slow workers refuse: let some large work into the fast lane
+			d.leak, d.leakAt = min(1, d.leakNow()+leakStep), d.now
+		}
+	case Failed, ConnectFailed, Reset:
+		w.fails++
+		w.goods = 0
+		w.outTill = d.now + min(trialFirst*math.Exp2(float64(w.fails-1)), d.s.Cold)
+	case TimedOut:
+		if h.started < 0 {
+			w.fails++
+			w.outTill = d.now + trialFirst
+		}
+	}
+}
+
+func (d *Dispatcher) leakNow() float64 { return d.leak * math.Exp2((d.leakAt-d.now)/leakHalf) }
+
+func (d *Dispatcher) slowness(w *worker) float64 {
+	return w.slow * math.Exp((w.slowAt-d.now)/forget)
+}
+
+// Left takes a client's departure.
+func (d *Dispatcher) Left(wi uint64) {
+	if it := d.items[wi]; it != nil && !it.ended {
+		d.end(it)
+	}
+}
+
+// giveUp gives the final answer at once. This is the one place for it: a deferral where trying
+// again is harmless, else a write-off.
+func (d *Dispatcher) giveUp(it *item) {
+	if it.ended {
+		return
+	}
+	ran := it.mayRan || it.out > 0
+	if !ran || it.cat.Repeat == Rerunnable || it.cat.Repeat == Ticketed && it.cat.Group == GroupAll {
+		pause := 0.0
+		if d.s.MayPause {
+			pause = min(d.mean, d.s.MaxPause)
+		}
+		d.out.Defer(it.ID, pause)
+	} else {
+		d.out.WriteOff(it.ID)
+	}
+	d.end(it)
+}
+
+// end marks an item as answered and calls off what is still out for it.
+func (d *Dispatcher) end(it *item) {
+	it.ended = true
+	if it.held {
+		it.held = false
+		d.held = slices.DeleteFunc(d.held, func(o *item) bool { return o == it })
+	}
+	if d.s.MayCancel {
+		for k := range it.hos {
+			if h := &it.hos[k]; !h.done && !h.moved && !it.stream {
+				h.moved = true
+				d.out.Cancel(it.ID, k)
+			}
+		}
+	}
+	d.drop(it)
+}
+
+// drop forgets an item that is answered and has nothing out.
+func (d *Dispatcher) drop(it *item) {
+	if it.ended && it.out == 0 {
+		delete(d.items, it.ID)
+	}
+}
+
+// sweep looks at everything open: what has expired, waits too long or stands still.
+func (d *Dispatcher) sweep() {
+	keep := d.open[:0]
+	for _, it := range d.open {
+		if !it.ended && !it.stream && d.now >= it.expiry {
+			d.giveUp(it)
+		}
+		if it.ended {
+			continue
+		}
+		keep = append(keep, it)
+		if it.out == 0 {
+			continue
+		}
+		for k := range it.hos {
+			if h := &it.hos[k]; !h.done && !h.moved && d.stuck(it, h) {
+				if h.started >= 0 {
+					h.w.stalled = true
+				}
+				d.move(it, k)
+			}
+		}
+	}
+	clear(d.open[len(keep):])
+	d.open = keep
+}
+
+// stuck tells of a hand-off that has waited away half of what it can spare, or that stands still.
+func (d *Dispatcher) stuck(it *item, h *handoff) bool {
+	if h.started < 0 && d.s.TellsStart {
+		spare := it.until - h.sent - d.cost(it, h.w)
+		return d.now-h.sent > max(d.grace(h.w), spare/2)
+	}
+	if d.s.Progress > 0 && d.s.TellsStart {
+		return d.now-h.heard > 2.5*d.s.Progress
+	}
+	return d.now-h.sent > 4*d.cost(it, h.w)
+}
+
+// move calls a hand-off off when another worker could still end the work in time. Only rerunnable
+// work is moved: anything else may have had its effect.
+func (d *Dispatcher) move(it *item, ho int) {
+	if it.cat.Repeat != Rerunnable || !d.s.MayCancel || it.stream || len(it.hos) >= d.s.MaxHandOffs {
+		return
+	}
+	for _, w := range d.workers {
+		if w != it.hos[ho].w && d.useful(it, w) {
+			it.hos[ho].moved = true
+			d.out.Cancel(it.ID, ho)
+			return
+		}
+	}
+}
+
+// reset learns the lanes and the cutoff anew: kinds by speed, split where the lanes' capacities
+// are most alike, and the cutoff such that the sample's cost below it is the fast lane's part.
+func (d *Dispatcher) reset() {
+	d.resetAt = d.now + resetEvery
+	total, count := 0.0, 0.0
+	for k := range d.kinds {
+		if d.kinds[k].known {
+			total += d.kinds[k].slow
+			count++
+		}
+		d.kinds[k].weight = 0
+	}
+	var order []int
+	for k := range d.kinds {
+		if kd := &d.kinds[k]; !kd.known && count > 0 {
+			kd.slow = total / count
+		}
+		d.kinds[k].speed = math.Exp(-d.kinds[k].slow)
+		order = append(order, k)
+	}
+	all := 0.0
+	for _, w := range d.workers {
+		if w.State == Up && d.now >= w.outTill {
+			k := &d.kinds[w.Kind]
+			c := k.speed * float64(k.slots) * d.warmth(w)
+			if count == 0 {
+				c = 1
+			}
+			k.weight += c
+			all += c
+		}
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return int(math.Copysign(1, d.kinds[a].slow-d.kinds[b].slow))
+	})
+	part, fast, best := 0.0, all, math.Inf(1)
+	for _, k := range order { // fast lane: the kinds up to and with the best end
+		part += d.kinds[k].weight
+		if off := math.Abs(all - 2*part); d.kinds[k].weight > 0 && off < best {
+			best, fast = off, part
+		}
+	}
+	part = 0
+	for _, k := range order {
+		part += d.kinds[k].weight
+		d.kinds[k].lane = 0
+		if part > fast {
+			d.kinds[k].lane = 1
+		}
+	}
+	if len(d.sample) == 0 {
+		return
+	}
+	d.sorted = append(d.sorted[:0], d.sample...)
+	slices.Sort(d.sorted)
+	d.median = d.sorted[len(d.sorted)/2]
+	sum := 0.0
+	for _, x := range d.sorted {
+		sum += x
+	}
+	d.mean = sum / float64(len(d.sorted))
+	d.cutoff = math.Inf(1)
+	below := 0.0
+	for _, x := range d.sorted {
+		if below += x; below > sum*fast/all {
+			d.cutoff = x
+			break
+		}
+	}
+}
+
+// warmth is the part of its capacity that a worker has at least, its growth taken as the slowest.
+func (d *Dispatcher) warmth(w *worker) float64 {
+	age := d.now - w.Since
+	if w.Since <= 0 || age >= d.s.Cold {
+		return 1
+	}
+	return d.s.StartShare + (1-d.s.StartShare)*max(age, 0)/d.s.Cold
+}
+
+// cost is the running time to expect of an item on a worker.
+func (d *Dispatcher) cost(it *item, w *worker) float64 {
+	return it.Hint * math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w))) / d.warmth(w)
+}
+
+// place hands off what is held, best rank first, and gives up what can no longer end in time.
+func (d *Dispatcher) place() {
+	if len(d.held) == 0 {
+		return
+	}
+	room := slices.ContainsFunc(d.workers, d.hasCredit)
+	for _, it := range slices.Clone(d.held) {
+		if room && d.choose(it) {
+			continue
+		}
+		for d.now+d.least(it) > it.until {
+			if it.late || it.cat.LateCredit == 0 {
+				d.giveUp(it)
+				break
+			}
+			it.late, it.until = true, it.expiry
+		}
+	}
+	d.held = slices.DeleteFunc(d.held, func(it *item) bool { return !it.held })
+}
+
+// least is the running time on the fastest kind that may take the item.
+func (d *Dispatcher) least(it *item) float64 {
+	slow := math.Inf(1)
+	for _, w := range d.workers {
+		if w.State == Up && (it.cat.Kind < 0 || it.cat.Kind == w.Kind) {
+			slow = min(slow, d.kinds[w.Kind].slow)
+		}
+	}
+	if math.IsInf(slow, 1) {
+		return 0
+	}
+	return it.Hint * math.Exp(slow)
+}
+
+// choose takes the item's lane by its bin, or the other lane when no worker of its own has credit.
+func (d *Dispatcher) choose(it *item) bool {
+	lane := 0
+	if it.Hint >= d.cutoff && d.chance() >= d.leakNow() {
+		lane = 1
+	}
+	for _, l := range [2]int{lane, 1 - lane} {
+		if w := d.draw(it, l); w != nil {
+			return d.handOff(it, w)
+		}
+	}
+	return false
+}
+
+// draw takes a kind of the lane by capacity, then a worker uniformly within the kind. Workers that
+// would be drawn again at once are left out beforehand, which comes to the same.
+func (d *Dispatcher) draw(it *item, lane int) *worker {
+	total := 0.0
+	for _, w := range d.workers {
+		if k := &d.kinds[w.Kind]; k.lane == lane && d.useful(it, w) {
+			total += k.speed
+		}
+	}
+	x := d.chance() * total
+	for _, w := range d.workers {
+		if k := &d.kinds[w.Kind]; k.lane == lane && total > 0 && d.useful(it, w) {
+			if x -= k.speed; x < 0 {
+				return w
+			}
+		}
+	}
+	return nil
+}
+
+// hasCredit: a worker earns credit by starting and answering what it was given. One hand-off that
+// has not started takes it away, and so do failures in a row and standing still.
+func (d *Dispatcher) hasCredit(w *worker) bool {
+	k := &d.kinds[w.Kind]
+	if w.State != Up || w.waiting > 0 || w.stalled || d.now < w.full || d.now < w.outTill {
+		return false
+	}
+	if w.fails > 0 && w.running > 0 { // on trial: one at a time
+		return false
+	}
+	return w.running < k.slots || w.running == k.slots && d.now >= k.explore
+}
+
+// useful tells whether the draw may stop at this worker for this item.
+func (d *Dispatcher) useful(it *item, w *worker) bool {
+	if !d.hasCredit(w) || it.cat.Kind >= 0 && it.cat.Kind != w.Kind {
+		return false
+	}
+	if n := len(it.hos); n > 0 && it.hos[n-1].w == w { // it just failed or waited there
+		return false
+	}
+	if it.cat.Repeat == Exclusive && w.fails > 0 { // a trial may cost the effect
+		return false
+	}
+	return d.now+d.cost(it, w) <= it.until && d.allowed(it, w)
+}
+
+// allowed holds the rules that a hand-off may not break.
+func (d *Dispatcher) allowed(it *item, w *worker) bool {
+	// One final answer, nothing after it, and within the limit of hand-offs.
+	if it.ended || it.stream || d.now >= it.expiry || len(it.hos) >= d.s.MaxHandOffs {
+		return false
+	}
+	// Drains: never to one that this dispatcher was told drains or is gone.
+	if w.State != Up {
+		return false
+	}
+	// No effect twice.
+	if it.out > 0 && (!d.s.SecondCopies || it.cat.Repeat == Exclusive) {
+		return false
+	}
+	if it.mayRan && it.cat.Repeat == Exclusive {
+		return false
+	}
+	if it.cat.Repeat == Ticketed {
+		for k := range it.hos {
+			f := it.hos[k].w
+			if d.now-it.hos[k].sent > it.cat.Window || it.cat.Group == GroupZone && f.Zone != w.Zone ||
+				it.cat.Group == GroupCell && f.Cell != w.Cell {
+				return false
+			}
+		}
+	}
+	return d.warmth(w) == 1 || d.coldRoom(w, max(it.Hint, d.mean))
+}
+
+// coldRoom keeps a cold worker from being pushed over: this dispatcher's part of the budget of any
+// fall window, or one work item when nothing went there for as long as the budget needs for it.
+func (d *Dispatcher) coldRoom(w *worker, cost float64) bool {
+	k := &d.kinds[w.Kind]
+	pace := d.s.FallMultiple * d.warmth(w) * k.speed * float64(k.slots) / float64(max(d.s.Siblings, 1))
+	d.turn(w)
+	sum := cost
+	for _, x := range w.sent {
+		sum += x
+	}
+	return sum <= pace*d.s.Fall || d.now-max(w.last, w.Since) >= cost/pace
+}
+
+// turn clears the buckets of a worker's ring that have passed.
+func (d *Dispatcher) turn(w *worker) {
+	epoch := int(d.now / (d.s.Fall / coldBuckets))
+	for e := max(w.epoch+1, epoch-coldBuckets); e <= epoch; e++ {
+		w.sent[e%len(w.sent)] = 0
+	}
+	w.epoch = epoch
+}
+
+// handOff is the one way out for work: every send passes here and keeps the rules or does not go.
+func (d *Dispatcher) handOff(it *item, w *worker) bool {
+	if !d.allowed(it, w) {
+		return false
+	}
+	d.turn(w)
+	w.sent[w.epoch%len(w.sent)] += max(it.Hint, d.mean)
+	w.last = d.now
+	h := handoff{w: w, sent: d.now, heard: d.now, started: -1}
+	w.waiting++
+	if !d.s.TellsStart {
+		h.started = d.now
+		w.waiting--
+		w.running++
+	}
+	it.hos = append(it.hos, h)
+	it.out++
+	it.held = false
+	d.out.HandOff(it.ID, w.ID(), 0)
+	return true
+}
+
+// ID is the worker's name on the wire.
+func (w *worker) ID() string { return w.Worker }
