Siblings tell each other what they have out at each worker

Cause: each dispatcher saw only its own hand-offs and queued blind behind the others'. How many fit on a worker is now learned from whether the nth work item starts at once. Types of what is remembered moved to state.go.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,7 +4,8 @@
 //
 // Make a Dispatcher with New(settings); call Round(now, in, out) whenever something came in. Round
 // calls in.Deliver(d), which calls the plain methods below (Arrived, Answered, Noticed, Listed, ...);
-// then it places what is held. Decisions go straight to out. The interface lives in port.go.
+// then it places what is held. Decisions go straight to out. The interface lives in port.go, the
+// types of what is remembered in state.go.
 package dispatch
 
 import (
@@ -13,111 +14,29 @@
 )
 
 const (
-	sampleSize  = 512  // hints remembered for the cutoff
-	resetEvery  = 5000 // time between cutoff resets
-	kindPace    = 0.05 // smoothing of a kind's speed, for each answer
-	workerPace  = 0.25 // the same for a worker beside its kind
-	leakStep    = 0.02 // rise of the leak for each refusal of a slow worker
-	leakHalf    = 5000 // the leak halves in this time
-	trialFirst  = 500  // first time out of the draw after a failure; doubles with each in a row
-	coldBuckets = 8    // buckets of one fall window
-	forget      = 1e4  // a worker's own speed fades back to its kind's over this time
+	sampleSize = 512  // hints remembered for the cutoff
+	resetEvery = 5000 // time between cutoff resets
+	fitPace    = 0.3  // smoothing of how many fit, for each start
+	kindPace   = 0.05 // smoothing of a kind's speed, for each answer
+	workerPace = 0.25 // the same for a worker beside its kind
+	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
+	leakHalf   = 5000 // the leak halves in this time
+	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
+
+	tellEvery = 1000 // siblings are told everything again after this time
+	forget    = 1e4  // a worker's own speed fades back to its kind's over this time
 )
 
-// A kind of worker with what was learned of it.
-type kind struct {
-	slow    float64 // log of running time over hint, smoothed
-	known   bool
-	slots   int     // most work items seen running at once on one worker
-	explore float64 // not before this time is one more than slots tried
-	lane    int     // 0: small bins, 1: large
-	speed   float64 // as of the last reset
-	weight  float64 // capacity as of the last reset
-}
-
-// A worker as this dispatcher sees it.
-type worker struct {
-	Entry
-	waiting int // own hand-offs not known to have started
-	running int
-	minGap  float64 // least time seen from hand-off to start notice
-	full    float64 // taken to be full until then
-	slow    float64 // log of its slowness beside its kind
-	slowAt  float64
-	fails   int // in a row
-	goods   int // in a row
-	outTill float64
-	stalled bool
-	sent    [coldBuckets + 1]float64 // cost sent to it, by buckets of the fall window
-	epoch   int
-	last    float64 // time of the last hand-off
-}
-
-// A handoff (ho) of one work item to one worker.
-type handoff struct {
-	w       *worker
-	sent    float64
-	started float64 // below 0: not known to have started
-	heard   float64 // last sign of life
-	done    bool
-	moved   bool // called off by this dispatcher
-}
-
-// An item is a work item with its hand-offs.
-type item struct {
-	WorkItem
-	cat    *Category
-	expiry float64
-	until  float64 // must end by then to be of use: the due time, or the expiry if late is worth something
-	late   bool    // until is the expiry
-	rank   float64 // credit that it earns for each unit of cost
-	hos    []handoff
-	out    int  // hand-offs outstanding
-	mayRan bool // an ended hand-off may have run
-	ended  bool // has its final answer
-	stream bool
-	held   bool
-}
-
-// Dispatcher decides for one submitter. Not for use from several goroutines at once.
-type Dispatcher struct {
-	s       Settings // the figures that decisions use
-	now     float64
-	out     Writer
-	mwc     uint64
-	workers []*worker
-	byID    map[string]*worker
-	kinds   []kind // one more than named, for workers of no known kind
-	items   map[uint64]*item
-	open    []*item // in order of arrival
-	held    []*item // by rank, then arrival
-	most    []float64
-	sample  []float64 // hints, a ring
-	sampled int
-	sorted  []float64
-	cutoff  float64
-	median  float64
-	mean    float64
-	resetAt float64
-	leak    float64
-	leakAt  float64
-	beatAt  float64
-	beat    float64
-	watched bool
-	asked   float64 // time of the last call to discovery
-	askGap  float64
-}
-
 // New makes a dispatcher that knows nothing yet.
 func New(s Settings) *Dispatcher {
 	d := &Dispatcher{s: s, byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
 		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
-		beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, askGap: s.AskWithin / 40}
+		heardOf: make([]float64, s.Siblings), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, askGap: s.AskWithin / 40}
 	for range 8 {
 		d.chance()
 	}
 	for k := range d.kinds {
-		d.kinds[k].slots = 1
+		d.kinds[k].slots, d.kinds[k].fit[1] = 1, 1
 	}
 	return d
 }
@@ -137,6 +56,7 @@
 		out.Timer(0, d.beat)
 		d.sweep()
 		d.ask()
+		d.tell()
 	}
 	if now >= d.resetAt {
 		d.reset()
@@ -150,8 +70,54 @@
 // Probed is heard out; probes are not sent.
 func (d *Dispatcher) Probed(string, bool, Load) {}
 
-// Heard is a sibling's message; none are sent.
-func (d *Dispatcher) Heard(int, []byte) {}
+// tell lets siblings know how many hand-offs this dispatcher has out at each worker: what changed
+// at each beat, and everything now and then, since messages get lost.
+func (d *Dispatcher) tell() {
+	if !d.s.MayTell || d.s.Siblings < 2 {
+		return
+	}
+	all := d.now >= d.tellAll
+	d.msg = d.msg[:0]
+	for _, w := range d.workers {
+		if n := min(w.waiting+w.running, 255); (all && n > 0 || n != w.told) && len(d.msg) <= 253 {
+			d.msg = append(d.msg, byte(w.tag>>8), byte(w.tag), byte(n))
+			w.told = n
+		}
+	}
+	if all {
+		d.tellAll = d.now + tellEvery
+	}
+	if all || len(d.msg) > 0 {
+		d.out.Tell(-1, d.msg)
+	}
+}
+
+// Heard takes a sibling's message.
+func (d *Dispatcher) Heard(from int, data []byte) {
+	if from < 0 || from >= d.s.Siblings || len(data)%3 != 0 {
+		return
+	}
+	d.heardOf[from] = d.now
+	for ; len(data) > 0; data = data[3:] {
+		for _, w := range d.workers {
+			if w.tag == uint16(data[0])<<8|uint16(data[1]) {
+				w.others[from] = data[2]
+			}
+		}
+	}
+}
+
+// load is what is known to be at a worker: own hand-offs and those that siblings told of. A sibling
+// not heard for long may be dead, and what it had out with it.
+func (d *Dispatcher) load(w *worker) int {
+	n := w.waiting + w.running
+	for k, o := range w.others {
+		if d.now-d.heardOf[k] < 3*tellEvery {
+			n += int(o)
+		}
+	}
+	return n
+}
 
 // ask keeps the subscription to discovery alive. It asks again when a call failed, ever more
 // slowly, and when nothing was heard for long: a subscription may have died unseen.
@@ -190,7 +156,10 @@
 	for _, e := range entries {
 		w := d.byID[e.Worker]
 		if w == nil {
-			w = &worker{minGap: math.Inf(1), last: math.Inf(-1)}
+			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), others: make([]uint8, d.s.Siblings)}
+			for _, c := range []byte(e.Worker) {
+				w.tag = w.tag*31 + uint16(c)
+			}
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
@@ -265,13 +234,18 @@
 	// The gap from hand-off to start is the one direct sight of the worker's queue.
 	w, k, gap := h.w, &d.kinds[h.w.Kind], d.now-h.sent
 	w.minGap = min(w.minGap, gap)
+	n := min(h.load, len(k.fit)-1)
 	if gap > d.grace(w) {
 		w.full = d.now + min(gap, d.span(w))
-		if w.running > k.slots {
-			k.explore = d.now + resetEvery
+		k.fit[n] -= fitPace * k.fit[n]
+		if n > k.slots {
+			k.explore = d.now + tellEvery
 		}
 	} else {
-		k.slots = max(k.slots, w.running)
+		k.fit[n] += fitPace * (1 - k.fit[n])
+	}
+	for k.slots = 1; k.slots+1 < len(k.fit) && k.fit[k.slots+1] > 0.5; {
+		k.slots++
 	}
 }
 
@@ -632,7 +606,8 @@
 	if w.fails > 0 && w.running > 0 { // on trial: one at a time
 		return false
 	}
-	return w.running < k.slots || w.running == k.slots && d.now >= k.explore
+	n := d.load(w)
+	return n < k.slots || n == k.slots && d.now >= k.explore
 }
 
 // useful tells whether the draw may stop at this worker for this item.
@@ -708,8 +683,8 @@
 	d.turn(w)
 	w.sent[w.epoch%len(w.sent)] += max(it.Hint, d.mean)
 	w.last = d.now
-	h := handoff{w: w, sent: d.now, heard: d.now, started: -1}
 	w.waiting++
+	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w)}
 	if !d.s.TellsStart {
 		h.started = d.now
 		w.waiting--
@@ -718,9 +693,6 @@
 	it.hos = append(it.hos, h)
 	it.out++
 	it.held = false
-	d.out.HandOff(it.ID, w.ID(), 0)
+	d.out.HandOff(it.ID, w.Worker, 0)
 	return true
 }
-
-// ID is the worker's name on the wire.
-func (w *worker) ID() string { return w.Worker }
--- /dev/null
+++ b/internal/dispatch/state.go
@@ -0,0 +1,95 @@
+package dispatch
+
+const coldBuckets = 8 // buckets of one fall window
+
+// A kind of worker with what was learned of it.
+type kind struct {
+	slow    float64 // log of running time over hint, smoothed
+	known   bool
+	fit     [16]float64 // smoothed: did the nth work item on a worker start at once?
+	slots   int         // most that do
+	explore float64     // not before this time is one more than slots tried
+	lane    int         // 0: small bins, 1: large
+	speed   float64     // as of the last reset
+	weight  float64     // capacity as of the last reset
+}
+
+// A worker as this dispatcher sees it.
+type worker struct {
+	Entry
+	waiting int // own hand-offs not known to have started
+	running int
+	minGap  float64 // least time seen from hand-off to start notice
+	full    float64 // taken to be full until then
+	slow    float64 // log of its slowness beside its kind
+	slowAt  float64
+	fails   int // in a row
+	goods   int // in a row
+	outTill float64
+	stalled bool
+	sent    [coldBuckets + 1]float64 // cost sent to it, by buckets of the fall window
+	epoch   int
+	last    float64 // time of the last hand-off
+	told    int     // own hand-offs out, as siblings were last told
+	tag     uint16  // its name in messages
+	others  []uint8 // hand-offs of each sibling, as last heard
+}
+
+// A handoff (ho) of one work item to one worker.
+type handoff struct {
+	w       *worker
+	sent    float64
+	started float64 // below 0: not known to have started
+	heard   float64 // last sign of life
+	load    int     // work items known to be at the worker with this one
+	done    bool
+	moved   bool // called off by this dispatcher
+}
+
+// An item is a work item with its hand-offs.
+type item struct {
+	WorkItem
+	cat    *Category
+	expiry float64
+	until  float64 // must end by then to be of use: the due time, or the expiry if late is worth something
+	late   bool    // until is the expiry
+	rank   float64 // credit that it earns for each unit of cost
+	hos    []handoff
+	out    int  // hand-offs outstanding
+	mayRan bool // an ended hand-off may have run
+	ended  bool // has its final answer
+	stream bool
+	held   bool
+}
+
+// Dispatcher decides for one submitter. Not for use from several goroutines at once.
+type Dispatcher struct {
+	s       Settings // the figures that decisions use
+	now     float64
+	out     Writer
+	mwc     uint64
+	workers []*worker
+	byID    map[string]*worker
+	kinds   []kind // one more than named, for workers of no known kind
+	items   map[uint64]*item
+	open    []*item // in order of arrival
+	held    []*item // by rank, then arrival
+	most    []float64
+	sample  []float64 // hints, a ring
+	sampled int
+	sorted  []float64
+	cutoff  float64
+	median  float64
+	mean    float64
+	resetAt float64
+	leak    float64
+	leakAt  float64
+	beatAt  float64
+	beat    float64
+	watched bool
+	asked   float64 // time of the last call to discovery
+	askGap  float64
+	tellAll float64   // when siblings are next told everything
+	heardOf []float64 // last word of each sibling
+	msg     []byte
+}
