--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -569,7 +569,12 @@
 		lane = 1
 	}
 	for _, l := range [2]int{lane, 1 - lane} {
-		if w := d.draw(it, l); w != nil {
+		if d.s.NearFirst {
+			if w := d.draw(it, l, true); w != nil {
+				return d.handOff(it, w)
+			}
+		}
+		if w := d.draw(it, l, false); w != nil {
 			return d.handOff(it, w)
 		}
 	}
@@ -577,20 +582,22 @@
 }
 
 // draw takes a kind of the lane by capacity, then a worker uniformly within the kind. Workers that
-// would be drawn again at once are left out beforehand, which comes to the same.
-func (d *Dispatcher) draw(it *item, lane int) *worker {
+// would be drawn again at once are left out beforehand, which comes to the same; so are those of
+// other zones while crossing has a price and the lane has a useful worker near.
+func (d *Dispatcher) draw(it *item, lane int, near bool) *worker {
+	d.fit = d.fit[:0]
 	total := 0.0
 	for _, w := range d.workers {
-		if k := &d.kinds[w.Kind]; k.lane == lane && d.useful(it, w) {
+		k := &d.kinds[w.Kind]
+		if k.lane == lane && (!near || w.Zone == d.s.Zone) && d.useful(it, w) {
+			d.fit = append(d.fit, w)
 			total += k.speed
 		}
 	}
 	x := d.chance() * total
-	for _, w := range d.workers {
-		if k := &d.kinds[w.Kind]; k.lane == lane && total > 0 && d.useful(it, w) {
-			if x -= k.speed; x < 0 {
-				return w
-			}
+	for _, w := range d.fit {
+		if x -= d.kinds[w.Kind].speed; x < 0 {
+			return w
 		}
 	}
 	return nil
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -10,6 +10,7 @@
 	Siblings     int     // dispatchers that share the workers, this one included
 	Position     int
 	Zone         int
+	NearFirst    bool // handing off to another zone has a price
 	Kinds        int
 	Categories   []Category
 	Tenants      []Tenant
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -92,4 +92,5 @@
 	tellAll float64   // when siblings are next told everything
 	heardOf []float64 // last word of each sibling
 	msg     []byte
+	fit     []*worker
 }
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -251,7 +251,7 @@
 		"safety.start_capacity", "safety.cold", "safety.fall", "safety.fall_multiple")
 	s := dispatch.Settings{Seed: f.id("nonce64"), Grain: p.ms("granularity"),
 		Siblings: int(p.num("siblings", 1)), Position: int(p.num("position", 0)),
-		ExcessCredit: p.num("excess_credit", 1), TellsStart: p.yes("family_info.tells_start"),
+		NearFirst: p.num("prices.cross_zone", 0) > 0, ExcessCredit: p.num("excess_credit", 1), TellsStart: p.yes("family_info.tells_start"),
 		Progress: p.ms("family_info.progress"), MustAsk: p.m["discovery"] == "ask",
 		MayCancel: p.yes("allowed.may_cancel"), MayProbe: p.yes("allowed.probes"),
 		MayTell: p.yes("allowed.peers"), MayPause: p.yes("allowed.retry_after"),
