--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -238,8 +238,9 @@
 	if gap > d.grace(w) {
 		w.full = d.now + min(gap, d.span(w))
 		k.fit[n] -= fitPace * k.fit[n]
-		if n > k.slots {
-			k.explore = d.now + tellEvery
+		if n > k.slots { // one more does not fit: try that ever more rarely
+			k.tried++
+			k.explore = d.now + tellEvery*math.Exp2(float64(min(k.tried, 10)))
 		}
 	} else {
 		k.fit[n] += fitPace * (1 - k.fit[n])
