--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -587,14 +587,18 @@
 // other zones while crossing has a price and the lane has a useful worker near.
 func (d *Dispatcher) draw(it *item, lane int, near bool) *worker {
 	d.fit = d.fit[:0]
-	total := 0.0
+	mean, total := 0.0, 0.0
 	for _, w := range d.workers {
-		k := &d.kinds[w.Kind]
-		if k.lane == lane && (!near || w.Zone == d.s.Zone) && d.useful(it, w) {
+		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.s.Zone) && d.useful(it, w) {
 			d.fit = append(d.fit, w)
-			total += k.speed
+			mean += float64(d.load(w))
 		}
 	}
+	mean /= float64(len(d.fit))
+	d.fit = slices.DeleteFunc(d.fit, func(w *worker) bool { return float64(d.load(w)) > mean })
+	for _, w := range d.fit {
+		total += d.kinds[w.Kind].speed
+	}
 	x := d.chance() * total
 	for _, w := range d.fit {
 		if x -= d.kinds[w.Kind].speed; x < 0 {
