--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -543,7 +543,10 @@
 				d.giveUp(it)
 				break
 			}
-			it.late, it.until = true, it.expiry
+			it.late, it.until, it.held = true, it.expiry, false
+			it.rank *= it.cat.LateCredit // what can still be in time goes first
+			d.held = slices.DeleteFunc(d.held, func(o *item) bool { return o == it })
+			d.hold(it)
 		}
 	}
 	d.held = slices.DeleteFunc(d.held, func(it *item) bool { return !it.held })
