What a tenant sends beyond its share is deferred at once when no worker has room

A tenant's arrivals over 5 s, siblings' told ones included, against its allowance; the part beyond it counts only past what chance gives. Messages take two bytes a worker instead of three.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -23,18 +23,22 @@
 	leakHalf   = 5000 // the leak halves in this time
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
-	tellEvery = 1000 // siblings are told everything again after this time
-	forget    = 1e4  // a worker's own speed fades back to its kind's over this time
+	tellEvery  = 1000 // siblings are told everything again after this time
+	tenantSpan = 5000 // time over which a tenant's arrivals are counted
+	forget     = 1e4  // a worker's own speed fades back to its kind's over this time
 )
 
 // New makes a dispatcher that knows nothing yet.
 func New(s Settings) *Dispatcher {
 	d := &Dispatcher{s: s, byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
 		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
-		heardOf: make([]float64, s.Siblings), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, askGap: s.AskWithin / 40}
+		tenants: make([]tenant, len(s.Tenants)), heardOf: make([]float64, s.Siblings), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, askGap: s.AskWithin / 40}
 	for range 8 {
 		d.chance()
 	}
+	for k := range d.tenants {
+		d.tenants[k].others = make([]uint8, s.Siblings)
+	}
 	for k := range d.kinds {
 		d.kinds[k].slots, d.kinds[k].fit[1] = 1, 1
 	}
@@ -71,7 +75,8 @@
 func (d *Dispatcher) Probed(string, bool, Load) {}
 
 // tell lets siblings know how many hand-offs this dispatcher has out at each worker: what changed
-// at each beat, and everything now and then, since messages get lost.
+// at each beat, and everything now and then, since messages get lost. A worker takes two bytes, so
+// such a message is even; an odd one tells of the tenants' arrivals.
 func (d *Dispatcher) tell() {
 	if !d.s.MayTell || d.s.Siblings < 2 {
 		return
@@ -79,29 +84,45 @@
 	all := d.now >= d.tellAll
 	d.msg = d.msg[:0]
 	for _, w := range d.workers {
-		if n := min(w.waiting+w.running, 255); (all && n > 0 || n != w.told) && len(d.msg) <= 253 {
-			d.msg = append(d.msg, byte(w.tag>>8), byte(w.tag), byte(n))
+		if n := min(w.waiting+w.running, 15); (all && n > 0 || n != w.told) && len(d.msg) < 254 {
+			d.msg = append(d.msg, byte(w.tag>>8)|byte(n), byte(w.tag))
 			w.told = n
 		}
 	}
-	if all {
-		d.tellAll = d.now + tellEvery
-	}
 	if all || len(d.msg) > 0 {
 		d.out.Tell(-1, d.msg)
 	}
+	if !all {
+		return
+	}
+	d.tellAll = d.now + tellEvery
+	if d.msg = d.msg[:0]; len(d.tenants) > 0 {
+		for k := range d.tenants {
+			d.msg = append(d.msg, byte(min(d.tenants[k].count.sum(d.now, tenantSpan), 255)))
+		}
+		if len(d.msg)%2 == 0 {
+			d.msg = append(d.msg, 0)
+		}
+		d.out.Tell(-1, d.msg)
+	}
 }
 
 // Heard takes a sibling's message.
 func (d *Dispatcher) Heard(from int, data []byte) {
-	if from < 0 || from >= d.s.Siblings || len(data)%3 != 0 {
+	if from < 0 || from >= d.s.Siblings {
 		return
 	}
 	d.heardOf[from] = d.now
-	for ; len(data) > 0; data = data[3:] {
+	if len(data)%2 == 1 {
+		for k := range min(len(data), len(d.tenants)) {
+			d.tenants[k].others[from] = data[k]
+		}
+		return
+	}
+	for ; len(data) > 0; data = data[2:] {
 		for _, w := range d.workers {
-			if w.tag == uint16(data[0])<<8|uint16(data[1]) {
-				w.others[from] = data[2]
+			if w.tag == uint16(data[0]&^15)<<8|uint16(data[1]) {
+				w.others[from] = data[0] & 15
 			}
 		}
 	}
@@ -160,6 +181,7 @@
 			for _, c := range []byte(e.Worker) {
 				w.tag = w.tag*31 + uint16(c)
 			}
+			w.tag = (w.tag ^ w.tag<<12) &^ 0xf00
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
@@ -195,11 +217,39 @@
 	it.until = d.now - spent + min(it.cat.Due+it.cat.Stretch*it.Hint, it.cat.Expiry)
 	it.until = min(it.until, it.expiry)
 	it.rank = it.cat.Credit
+	if part := d.excess(wi.Tenant); part > 0 && d.chance() < part {
+		it.excess = true
+		it.rank *= d.s.ExcessCredit
+	}
 	d.items[wi.ID] = it
 	d.open = append(d.open, it)
 	d.hold(it)
 }
 
+// excess counts an arrival of the tenant and tells what part of its traffic lies beyond its share.
+// Siblings not heard, that part is taken from this dispatcher's own traffic as if all had the same.
+func (d *Dispatcher) excess(tenant int) float64 {
+	if tenant < 0 {
+		return 0
+	}
+	t := &d.tenants[tenant]
+	t.count.add(d.now, tenantSpan, 1)
+	all := t.count.sum(d.now, tenantSpan)
+	if !d.s.MayTell {
+		all *= float64(d.s.Siblings)
+	}
+	for k, n := range t.others {
+		if d.now-d.heardOf[k] < 3*tellEvery {
+			all += float64(n)
+		}
+	}
+	share := d.s.Tenants[tenant].PerSec * tenantSpan / 1000
+	if all < share+2*math.Sqrt(share) { // may be chance
+		return 0
+	}
+	return 1 - share/all
+}
+
 // hold queues an item that has nothing out, by rank.
 func (d *Dispatcher) hold(it *item) {
 	if it.held || it.ended || it.out > 0 {
@@ -538,6 +588,10 @@
 		if room && d.choose(it) {
 			continue
 		}
+		if it.excess { // capacity is short: what lies beyond a tenant's share gives way first
+			d.giveUp(it)
+			continue
+		}
 		for d.now+d.least(it) > it.until {
 			if it.late || it.cat.LateCredit == 0 {
 				d.giveUp(it)
@@ -673,21 +727,7 @@
 func (d *Dispatcher) coldRoom(w *worker, cost float64) bool {
 	k := &d.kinds[w.Kind]
 	pace := d.s.FallMultiple * d.warmth(w) * k.speed * float64(k.slots) / float64(max(d.s.Siblings, 1))
-	d.turn(w)
-	sum := cost
-	for _, x := range w.sent {
-		sum += x
-	}
-	return sum <= pace*d.s.Fall || d.now-max(w.last, w.Since) >= cost/pace
-}
-
-// turn clears the buckets of a worker's ring that have passed.
-func (d *Dispatcher) turn(w *worker) {
-	epoch := int(d.now / (d.s.Fall / coldBuckets))
-	for e := max(w.epoch+1, epoch-coldBuckets); e <= epoch; e++ {
-		w.sent[e%len(w.sent)] = 0
-	}
-	w.epoch = epoch
+	return cost+w.sent.sum(d.now, d.s.Fall) <= pace*d.s.Fall || d.now-max(w.last, w.Since) >= cost/pace
 }
 
 // handOff is the one way out for work: every send passes here and keeps the rules or does not go.
@@ -695,8 +735,7 @@
 	if !d.allowed(it, w) {
 		return false
 	}
-	d.turn(w)
-	w.sent[w.epoch%len(w.sent)] += max(it.Hint, d.mean)
+	w.sent.add(d.now, d.s.Fall, max(it.Hint, d.mean))
 	w.last = d.now
 	w.waiting++
 	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w)}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -1,6 +1,30 @@
 package dispatch
 
-const coldBuckets = 8 // buckets of one fall window
+// A ring sums what happened in the last span of time, by buckets used again. It holds one bucket
+// more than a span has, so that it never forgets early.
+type ring struct {
+	cell  [11]float64
+	epoch int
+}
+
+func (r *ring) turn(now, span float64) int {
+	epoch := int(now / span * float64(len(r.cell)-1))
+	for e := max(r.epoch+1, epoch-len(r.cell)+1); e <= epoch; e++ {
+		r.cell[e%len(r.cell)] = 0
+	}
+	r.epoch = epoch
+	return epoch % len(r.cell)
+}
+
+func (r *ring) add(now, span, x float64) { r.cell[r.turn(now, span)] += x }
+
+func (r *ring) sum(now, span float64) (sum float64) {
+	r.turn(now, span)
+	for _, x := range r.cell {
+		sum += x
+	}
+	return sum
+}
 
 // A kind of worker with what was learned of it.
 type kind struct {
@@ -28,14 +52,19 @@
 	goods   int // in a row
 	outTill float64
 	stalled bool
-	sent    [coldBuckets + 1]float64 // cost sent to it, by buckets of the fall window
-	epoch   int
+	sent    ring    // cost sent to it in the last fall window
 	last    float64 // time of the last hand-off
 	told    int     // own hand-offs out, as siblings were last told
 	tag     uint16  // its name in messages
 	others  []uint8 // hand-offs of each sibling, as last heard
 }
 
+// A tenant's arrivals.
+type tenant struct {
+	count  ring
+	others []uint8 // the same at each sibling, as last heard
+}
+
 // A handoff (ho) of one work item to one worker.
 type handoff struct {
 	w       *worker
@@ -61,6 +90,7 @@
 	ended  bool // has its final answer
 	stream bool
 	held   bool
+	excess bool // beyond its tenant's share
 }
 
 // Dispatcher decides for one submitter. Not for use from several goroutines at once.
@@ -93,5 +123,6 @@
 	tellAll float64   // when siblings are next told everything
 	heardOf []float64 // last word of each sibling
 	msg     []byte
+	tenants []tenant
 	fit     []*worker
 }
