Hand-offs that vanish without a word leave the books; held work costs less CPU

Cause: single hand-offs that never started nor were answered until their expiry of 20 s counted as load, told to all siblings, until every slot of a worker was filled in the books. Told from a slow or dead worker: later hand-offs of siblings to the same worker started at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -56,7 +56,7 @@
 	d.now, d.out = now, out
 	in.Deliver(d)
 	if now >= d.beatAt {
-		d.beatAt = now + d.beat
+		d.beatAt, d.stirred = now+d.beat, true
 		out.Timer(0, d.beat)
 		d.sweep()
 		d.ask()
@@ -185,14 +185,14 @@
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
-			w.fails, w.outTill, w.slow, w.full, w.stalled = 0, 0, 0, 0, false
+			w.fails, w.outTill, w.slow, w.full = 0, 0, 0, 0
 		}
 		if e.Kind < 0 || e.Kind >= len(d.kinds) {
 			e.Kind = len(d.kinds) - 1
 		}
 		w.Entry = e
 	}
-	d.resetAt = d.now
+	d.resetAt, d.stirred = d.now, true
 }
 
 // Arrived takes a new work item.
@@ -224,6 +224,7 @@
 	d.items[wi.ID] = it
 	d.open = append(d.open, it)
 	d.hold(it)
+	d.arrived = true
 }
 
 // excess counts an arrival of the tenant and tells what part of its traffic lies beyond its share.
@@ -271,13 +272,12 @@
 	}
 	h := &it.hos[ho]
 	h.heard = d.now
-	h.w.stalled = false
+	h.to(&h.w.running)
 	if h.started >= 0 {
 		return
 	}
 	h.started = d.now
-	h.w.waiting--
-	h.w.running++
+	d.stirred = true
 	if !start { // the start notice was lost or is late; its gap tells nothing
 		return
 	}
@@ -322,11 +322,8 @@
 	h := &it.hos[a.HO]
 	h.done = true
 	it.out--
-	if h.started < 0 {
-		h.w.waiting--
-	} else {
-		h.w.running--
-	}
+	h.to(nil)
+	d.stirred = true
 	d.judge(it, h, a)
 	if a.Outcome != Finished && !a.Outcome.ProvesUnrun() {
 		it.mayRan = true
@@ -348,8 +345,7 @@
 	w, k := h.w, &d.kinds[h.w.Kind]
 	switch a.Outcome {
 	case Finished:
-		w.fails, w.outTill, w.full, w.stalled = 0, 0, 0, false
-		w.goods++
+		w.fails, w.outTill, w.full = 0, 0, 0
 		run := a.Spent
 		if h.started >= 0 {
 			run = d.now - h.started
@@ -371,17 +367,16 @@
 			d.leak, d.leakAt = min(1, d.leakNow()+leakStep), d.now
 		}
 	case Failed, ConnectFailed, Reset:
-		w.fails++
-		w.goods = 0
-		w.outTill = d.now + min(trialFirst*math.Exp2(float64(w.fails-1)), d.s.Cold)
-	case TimedOut:
-		if h.started < 0 {
-			w.fails++
-			w.outTill = d.now + trialFirst
-		}
+		d.fail(w)
 	}
 }
 
+// fail takes a worker out of the draw, the longer the more failures it had in a row.
+func (d *Dispatcher) fail(w *worker) {
+	w.fails++
+	w.outTill = d.now + min(trialFirst*math.Exp2(float64(w.fails-1)), d.s.Cold)
+}
+
 func (d *Dispatcher) leakNow() float64 { return d.leak * math.Exp2((d.leakAt-d.now)/leakHalf) }
 
 func (d *Dispatcher) slowness(w *worker) float64 {
@@ -454,11 +449,8 @@
 			continue
 		}
 		for k := range it.hos {
-			if h := &it.hos[k]; !h.done && !h.moved && d.stuck(it, h) {
-				if h.started >= 0 {
-					h.w.stalled = true
-				}
-				d.move(it, k)
+			if h := &it.hos[k]; !h.done && !h.moved {
+				d.doubt(it, k, h)
 			}
 		}
 	}
@@ -466,30 +458,32 @@
 	d.open = keep
 }
 
-// stuck tells of a hand-off that has waited away half of what it can spare, or that stands still.
-func (d *Dispatcher) stuck(it *item, h *handoff) bool {
-	if h.started < 0 && d.s.TellsStart {
-		spare := it.until - h.sent - d.cost(it, h.w)
-		return d.now-h.sent > max(d.grace(h.w), spare/2)
+// doubt looks at a hand-off that is out. One that has waited away half of what it can spare is moved
+// if it may be. One that stands still, or has not started in twice the time that all known before it
+// takes, is lost: it no longer counts as load. This guards against hand-offs that vanish without a
+// word, which would fill the worker in the books until the item's expiry.
+func (d *Dispatcher) doubt(it *item, ho int, h *handoff) {
+	late, lost := false, false
+	switch waited := d.now - h.sent; {
+	case !d.s.TellsStart || h.started >= 0 && d.s.Progress == 0:
+		lost = waited > 4*max(d.cost(it, h.w), d.span(h.w))
+	case h.started >= 0:
+		lost = d.now-h.heard > 2.5*d.s.Progress
+	default:
+		late = waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/2)
+		lost = waited > max(d.grace(h.w), 2*float64(h.load)*d.span(h.w))
 	}
-	if d.s.Progress > 0 && d.s.TellsStart {
-		return d.now-h.heard > 2.5*d.s.Progress
+	if lost && h.at != nil {
+		h.to(nil)
+		d.fail(h.w)
 	}
-	return d.now-h.sent > 4*d.cost(it, h.w)
-}
-
-// move calls a hand-off off when another worker could still end the work in time. Only rerunnable
-// work is moved: anything else may have had its effect.
-func (d *Dispatcher) move(it *item, ho int) {
+	// Only rerunnable work is moved: anything else may have had its effect.
 	if it.cat.Repeat != Rerunnable || !d.s.MayCancel || it.stream || len(it.hos) >= d.s.MaxHandOffs {
 		return
 	}
-	for _, w := range d.workers {
-		if w != it.hos[ho].w && d.useful(it, w) {
-			it.hos[ho].moved = true
-			d.out.Cancel(it.ID, ho)
-			return
-		}
+	if lost || late && slices.ContainsFunc(d.workers, func(w *worker) bool { return w != h.w && d.useful(it, w) }) {
+		h.moved = true
+		d.out.Cancel(it.ID, ho)
 	}
 }
 
@@ -578,21 +572,27 @@
 	return it.Hint * math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w))) / d.warmth(w)
 }
 
-// place hands off what is held, best rank first, and gives up what can no longer end in time.
+// place hands off what is held, best rank first, and gives up what can no longer end in time. What
+// was held before is looked at again only when something may have changed for it.
 func (d *Dispatcher) place() {
-	if len(d.held) == 0 {
+	if len(d.held) == 0 || !d.stirred && !d.arrived {
 		return
 	}
-	room := slices.ContainsFunc(d.workers, d.hasCredit)
+	d.ready = d.ready[:0]
+	for _, w := range d.workers {
+		if d.hasCredit(w) {
+			d.ready = append(d.ready, w)
+		}
+	}
 	for _, it := range slices.Clone(d.held) {
-		if room && d.choose(it) {
+		if it.seen && !d.stirred || len(d.ready) > 0 && d.choose(it) {
 			continue
 		}
+		it.seen = true
 		if it.excess { // capacity is short: what lies beyond a tenant's share gives way first
 			d.giveUp(it)
-			continue
 		}
-		for d.now+d.least(it) > it.until {
+		for !it.ended && d.now+d.least(it) > it.until {
 			if it.late || it.cat.LateCredit == 0 {
 				d.giveUp(it)
 				break
@@ -604,14 +604,15 @@
 		}
 	}
 	d.held = slices.DeleteFunc(d.held, func(it *item) bool { return !it.held })
+	d.stirred, d.arrived = false, false
 }
 
 // least is the running time on the fastest kind that may take the item.
 func (d *Dispatcher) least(it *item) float64 {
 	slow := math.Inf(1)
-	for _, w := range d.workers {
-		if w.State == Up && (it.cat.Kind < 0 || it.cat.Kind == w.Kind) {
-			slow = min(slow, d.kinds[w.Kind].slow)
+	for k := range d.kinds {
+		if d.kinds[k].weight > 0 && (it.cat.Kind < 0 || it.cat.Kind == k) {
+			slow = min(slow, d.kinds[k].slow)
 		}
 	}
 	if math.IsInf(slow, 1) {
@@ -645,7 +646,7 @@
 func (d *Dispatcher) draw(it *item, lane int, near bool) *worker {
 	d.fit = d.fit[:0]
 	mean, total := 0.0, 0.0
-	for _, w := range d.workers {
+	for _, w := range d.ready {
 		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.s.Zone) && d.useful(it, w) {
 			d.fit = append(d.fit, w)
 			mean += float64(d.load(w))
@@ -669,12 +670,15 @@
 // has not started takes it away, and so do failures in a row and standing still.
 func (d *Dispatcher) hasCredit(w *worker) bool {
 	k := &d.kinds[w.Kind]
-	if w.State != Up || w.waiting > 0 || w.stalled || d.now < w.full || d.now < w.outTill {
+	if w.State != Up || w.waiting > 0 || d.now < w.full || d.now < w.outTill {
 		return false
 	}
 	if w.fails > 0 && w.running > 0 { // on trial: one at a time
 		return false
 	}
+	if d.warmth(w) < 1 && !d.coldRoom(w, d.mean) {
+		return false
+	}
 	n := d.load(w)
 	return n < k.slots || n == k.slots && d.now >= k.explore
 }
@@ -737,12 +741,10 @@
 	}
 	w.sent.add(d.now, d.s.Fall, max(it.Hint, d.mean))
 	w.last = d.now
-	w.waiting++
-	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w)}
-	if !d.s.TellsStart {
+	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w) + 1}
+	if h.to(&w.waiting); !d.s.TellsStart {
 		h.started = d.now
-		w.waiting--
-		w.running++
+		h.to(&w.running)
 	}
 	it.hos = append(it.hos, h)
 	it.out++
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -49,9 +49,7 @@
 	slow    float64 // log of its slowness beside its kind
 	slowAt  float64
 	fails   int // in a row
-	goods   int // in a row
 	outTill float64
-	stalled bool
 	sent    ring    // cost sent to it in the last fall window
 	last    float64 // time of the last hand-off
 	told    int     // own hand-offs out, as siblings were last told
@@ -72,10 +70,21 @@
 	started float64 // below 0: not known to have started
 	heard   float64 // last sign of life
 	load    int     // work items known to be at the worker with this one
+	at      *int    // the worker's count in which it is, if any
 	done    bool
 	moved   bool // called off by this dispatcher
 }
 
+// to moves the hand-off from the count that it is in to another, or to none.
+func (h *handoff) to(count *int) {
+	if h.at != nil {
+		*h.at--
+	}
+	if h.at = count; count != nil {
+		*count++
+	}
+}
+
 // An item is a work item with its hand-offs.
 type item struct {
 	WorkItem
@@ -90,6 +99,7 @@
 	ended  bool // has its final answer
 	stream bool
 	held   bool
+	seen   bool // was looked at while held
 	excess bool // beyond its tenant's share
 }
 
@@ -125,4 +135,7 @@
 	msg     []byte
 	tenants []tenant
 	fit     []*worker
+	ready   []*worker // those with credit, this round
+	stirred bool      // held work may find room that it did not find before
+	arrived bool
 }
