--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -471,7 +471,11 @@
 		lost = d.now-h.heard > 2.5*d.s.Progress
 	default:
 		late = waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/2)
-		lost = waited > max(d.grace(h.w), 2*float64(h.load)*d.span(h.w))
+		ahead := h.load
+		if !d.s.MayTell { // as much again may be there unseen
+			ahead += d.kinds[h.w.Kind].slots
+		}
+		lost = waited > max(d.grace(h.w), 2*float64(ahead)*d.span(h.w))
 	}
 	if lost && h.at != nil {
 		h.to(nil)
