--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -295,7 +295,7 @@
 	} else {
 		k.fit[n] += fitPace * (1 - k.fit[n])
 	}
-	for k.slots = max(1, k.most); k.slots+1 < len(k.fit) && k.fit[k.slots+1] > 0.5; {
+	for k.slots = 1; k.slots+1 < len(k.fit) && k.fit[k.slots+1] > 0.5; {
 		k.slots++
 	}
 }
@@ -322,7 +322,6 @@
 	h := &it.hos[a.HO]
 	h.done = true
 	it.out--
-	d.kinds[h.w.Kind].most = max(d.kinds[h.w.Kind].most, int(a.Load.Free+0.5))
 	h.to(nil)
 	d.stirred = true
 	d.judge(it, h, a)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -33,7 +33,6 @@
 	fit     [16]float64 // smoothed: did the nth work item on a worker start at once?
 	slots   int         // most that do
 	tried   int         // how often one more did not start at once
-	most    int         // most free slots reported
 	explore float64     // not before this time is one more than slots tried
 	lane    int         // 0: small bins, 1: large
 	speed   float64     // as of the last reset
