Tests by kept traces; full lists clear siblings' books; repeats judged by each hand-off

Found by the traces: a lost message left phantom work in the siblings' books; a work item with no hand-offs left or past its window waited until it was hopeless instead of getting its answer at once.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,8 +4,8 @@
 //
 // Make a Dispatcher with New(settings); call Round(now, in, out) whenever something came in. Round
 // calls in.Deliver(d), which calls the plain methods below (Arrived, Answered, Noticed, Listed, ...);
-// then it places what is held. Decisions go straight to out. The interface lives in port.go, the
-// types of what is remembered in state.go.
+// then it places what is held. Decisions go straight to out. The interface lives in port.go, what is
+// remembered in state.go, the form of messages between siblings in siblings.go.
 package dispatch
 
 import (
@@ -45,12 +45,6 @@
 	return d
 }
 
-// chance draws from [0, 1) by multiply-with-carry.
-func (d *Dispatcher) chance() float64 {
-	d.mwc = 4294957665*(d.mwc&math.MaxUint32) + d.mwc>>32
-	return float64(uint32(d.mwc)) / (1 << 32)
-}
-
 // Round takes in what came in and decides. Nothing is decided outside it.
 func (d *Dispatcher) Round(now float64, in Inbox, out Writer) {
 	d.now, d.out = now, out
@@ -74,60 +68,6 @@
 // Probed is heard out; probes are not sent.
 func (d *Dispatcher) Probed(string, bool, Load) {}
 
-// tell lets siblings know how many hand-offs this dispatcher has out at each worker: what changed
-// at each beat, and everything now and then, since messages get lost. A worker takes two bytes, so
-// such a message is even; an odd one tells of the tenants' arrivals.
-func (d *Dispatcher) tell() {
-	if !d.s.MayTell || d.s.Siblings < 2 {
-		return
-	}
-	all := d.now >= d.tellAll
-	d.msg = d.msg[:0]
-	for _, w := range d.workers {
-		if n := min(w.waiting+w.running, 15); (all && n > 0 || n != w.told) && len(d.msg) < 254 {
-			d.msg = append(d.msg, byte(w.tag>>8)|byte(n), byte(w.tag))
-			w.told = n
-		}
-	}
-	if all || len(d.msg) > 0 {
-		d.out.Tell(-1, d.msg)
-	}
-	if !all {
-		return
-	}
-	d.tellAll = d.now + tellEvery
-	if d.msg = d.msg[:0]; len(d.tenants) > 0 {
-		for k := range d.tenants {
-			d.msg = append(d.msg, byte(min(d.tenants[k].count.sum(d.now, tenantSpan), 255)))
-		}
-		if len(d.msg)%2 == 0 {
-			d.msg = append(d.msg, 0)
-		}
-		d.out.Tell(-1, d.msg)
-	}
-}
-
-// Heard takes a sibling's message.
-func (d *Dispatcher) Heard(from int, data []byte) {
-	if from < 0 || from >= d.s.Siblings {
-		return
-	}
-	d.heardOf[from] = d.now
-	if len(data)%2 == 1 {
-		for k := range min(len(data), len(d.tenants)) {
-			d.tenants[k].others[from] = data[k]
-		}
-		return
-	}
-	for ; len(data) > 0; data = data[2:] {
-		for _, w := range d.workers {
-			if w.tag == uint16(data[0]&^15)<<8|uint16(data[1]) {
-				w.others[from] = data[0] & 15
-			}
-		}
-	}
-}
-
 // load is what is known to be at a worker: own hand-offs and those that siblings told of. A sibling
 // not heard for long may be dead, and what it had out with it.
 func (d *Dispatcher) load(w *worker) int {
@@ -181,7 +121,7 @@
 			for _, c := range []byte(e.Worker) {
 				w.tag = w.tag*31 + uint16(c)
 			}
-			w.tag = (w.tag ^ w.tag<<12) &^ 0xf00
+			w.tag = max((w.tag^w.tag<<12)&^0xf00, 1)
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
@@ -325,16 +265,17 @@
 	h.to(nil)
 	d.stirred = true
 	d.judge(it, h, a)
-	if a.Outcome != Finished && !a.Outcome.ProvesUnrun() {
-		it.mayRan = true
+	if a.Outcome.ProvesUnrun() {
+		h.unrun = true
+		it.risk--
 	}
 	switch {
 	case it.ended:
 		d.drop(it)
 	case a.Final:
 		d.end(it)
-	case it.cat.Repeat == Exclusive && it.mayRan, d.now >= it.expiry:
-		d.giveUp(it)
+	case it.out == 0 && (d.now >= it.expiry || len(it.hos) >= d.s.MaxHandOffs || !d.mayRepeat(it, nil)):
+		d.giveUp(it) // nothing more may be sent for it
 	default:
 		d.hold(it)
 	}
@@ -396,8 +337,7 @@
 	if it.ended {
 		return
 	}
-	ran := it.mayRan || it.out > 0
-	if !ran || it.cat.Repeat == Rerunnable || it.cat.Repeat == Ticketed && it.cat.Group == GroupAll {
+	if it.risk == 0 || it.cat.Repeat == Rerunnable || it.cat.Repeat == Ticketed && it.cat.Group == GroupAll {
 		pause := 0.0
 		if d.s.MayPause {
 			pause = min(d.mean, d.s.MaxPause)
@@ -589,6 +529,10 @@
 		}
 	}
 	for _, it := range slices.Clone(d.held) {
+		if !d.mayRepeat(it, nil) { // its window has passed while it was held
+			d.giveUp(it)
+			continue
+		}
 		if it.seen && !d.stirred || len(d.ready) > 0 && d.choose(it) {
 			continue
 		}
@@ -715,19 +659,29 @@
 	if it.out > 0 && (!d.s.SecondCopies || it.cat.Repeat == Exclusive) {
 		return false
 	}
-	if it.mayRan && it.cat.Repeat == Exclusive {
+	if !d.mayRepeat(it, w) {
 		return false
 	}
-	if it.cat.Repeat == Ticketed {
-		for k := range it.hos {
-			f := it.hos[k].w
-			if d.now-it.hos[k].sent > it.cat.Window || it.cat.Group == GroupZone && f.Zone != w.Zone ||
-				it.cat.Group == GroupCell && f.Cell != w.Cell {
-				return false
-			}
+	return d.warmth(w) == 1 || d.coldRoom(w, max(it.Hint, d.mean))
+}
+
+// mayRepeat tells whether what may have run already may be sent to the worker, or to any for nil:
+// exclusive work never, ticketed work while the workers of its group still know it.
+func (d *Dispatcher) mayRepeat(it *item, w *worker) bool {
+	if it.risk == 0 || it.cat.Repeat == Rerunnable {
+		return true
+	}
+	for k := range it.hos {
+		h := &it.hos[k]
+		if h.unrun {
+			continue
+		}
+		if it.cat.Repeat == Exclusive || d.now-h.sent > it.cat.Window || w != nil &&
+			(it.cat.Group == GroupZone && h.w.Zone != w.Zone || it.cat.Group == GroupCell && h.w.Cell != w.Cell) {
+			return false
 		}
 	}
-	return d.warmth(w) == 1 || d.coldRoom(w, max(it.Hint, d.mean))
+	return true
 }
 
 // coldRoom keeps a cold worker from being pushed over: this dispatcher's part of the budget of any
@@ -752,6 +706,7 @@
 	}
 	it.hos = append(it.hos, h)
 	it.out++
+	it.risk++
 	it.held = false
 	d.out.HandOff(it.ID, w.Worker, 0)
 	return true
--- /dev/null
+++ b/internal/dispatch/dispatch_test.go
@@ -0,0 +1,230 @@
+package dispatch
+
+import "testing"
+
+func TestOneFinalAnswer(t *testing.T) {
+	tr := start(t, plain())
+	tr.up("f1")
+	tr.say("rerunnable work on a worker that goes quiet: deferred at its expiry, nothing after it")
+	tr.arrive(1, 0, 100)
+	tr.at(5200, func(*Dispatcher) {})
+	tr.at(5201, func(d *Dispatcher) { tr.end(1, 0, Cancelled); tr.end(1, 0, Finished); d.Left(1) })
+	tr.say("a client that leaves: its hand-off is called off, no answer")
+	tr.up("f2")
+	tr.arrive(2, 0, 100)
+	tr.at(tr.now+5, func(d *Dispatcher) { d.Left(2) })
+	tr.say("no worker at all: deferred as soon as it cannot end in time")
+	tr.up()
+	tr.arrive(3, 0, 100)
+	tr.at(tr.now+1000, func(*Dispatcher) {})
+	tr.check("final")
+}
+
+func TestNoEffectTwice(t *testing.T) {
+	s := plain()
+	s.MaxHandOffs = 9
+	s.Categories = append(s.Categories,
+		Category{Repeat: Ticketed, Group: GroupZone, Window: 400, Due: 5000, Expiry: 5000, Credit: 1, Kind: -1},
+		Category{Repeat: Ticketed, Group: GroupAll, Window: 400, Due: 5000, Expiry: 5000, Credit: 1, Kind: -1})
+	tr := start(t, s)
+	tr.up("f1", "f2", "s1")
+	tr.say("exclusive: sent again after a refusal, which proves that it never ran; written off after an error")
+	tr.arrive(1, 1, 100)
+	tr.at(20, func(*Dispatcher) { tr.end(1, 0, Full) })
+	tr.at(30, func(*Dispatcher) { tr.end(1, 1, Failed) })
+	tr.say("exclusive that never starts: neither moved nor deferred, written off at its expiry")
+	tr.up("f5")
+	tr.arrive(2, 1, 100)
+	tr.at(5100, func(*Dispatcher) {})
+	tr.say("ticketed, known in one zone: sent again there only")
+	tr.at(5200, func(d *Dispatcher) {
+		d.Listed(Complete, []Entry{{Worker: "f3", Zone: 0}, {Worker: "f4", Zone: 1}, {Worker: "f6", Zone: 0}})
+	})
+	tr.arrive(3, 2, 100)
+	tr.at(tr.now+5, func(*Dispatcher) { tr.end(3, 0, Reset) })
+	tr.say("the window has passed: no further send, and no deferral for what may have run")
+	tr.at(tr.now+500, func(*Dispatcher) { tr.end(3, 1, Reset) })
+	tr.at(10500, func(*Dispatcher) {})
+	tr.check("effects")
+}
+
+func TestDrains(t *testing.T) {
+	tr := start(t, plain())
+	tr.up("f1", "f2")
+	tr.say("f1 drains, then f2 is gone: nothing goes there any more")
+	tr.at(10, func(d *Dispatcher) { d.Listed(Changes, []Entry{{Worker: "f1", State: Draining}}) })
+	tr.arrive(1, 0, 100)
+	tr.at(20, func(d *Dispatcher) { d.Listed(Changes, []Entry{{Worker: "f2", State: Gone}}); tr.end(1, 0, Full) })
+	tr.at(700, func(*Dispatcher) {})
+	tr.say("absent from a complete list is gone as well")
+	tr.up("f3")
+	tr.up("f4")
+	tr.arrive(2, 0, 100)
+	tr.check("drains")
+}
+
+func TestColdWorker(t *testing.T) {
+	s := plain()
+	s.Siblings = 4
+	s.Categories[0].Due = 5000
+	tr := start(t, s)
+	tr.say("a cold worker alone: work goes to it at this dispatcher's part of the budget, more as it warms up")
+	tr.at(100000, func(d *Dispatcher) { d.Listed(Complete, []Entry{{Worker: "f1", Since: 99000}}) })
+	for id := uint64(1); id < 12; id++ {
+		tr.run(id, 0, 100, 30)
+		tr.at(tr.now+100, func(*Dispatcher) {})
+	}
+	tr.check("cold")
+}
+
+func TestDiscoveryIsKeptAlive(t *testing.T) {
+	s := plain()
+	s.MustAsk = true
+	tr := start(t, s)
+	tr.say("asks at start, again after failures ever more slowly, and when it heard nothing for long")
+	tr.at(1, func(d *Dispatcher) { d.Listed(Restored, nil) })
+	for k := 1; k < 5; k++ {
+		tr.at(float64(k*700), func(d *Dispatcher) { d.Listed(Unavailable, nil) })
+	}
+	tr.at(6000, func(d *Dispatcher) { d.Listed(Changes, nil) })
+	tr.at(40000, func(*Dispatcher) {})
+	tr.check("discovery")
+}
+
+// learn runs small and large work until the speeds of both kinds and the cutoff are known.
+func (tr *trace) learn() {
+	tr.up("f1", "f2", "s1", "s2")
+	for id := uint64(100); id < 160; id++ {
+		hint := 50.0
+		if id%3 == 0 {
+			hint = 400
+		}
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Tenant: -1, Left: 5000, Hint: hint}) })
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+		slow := 0.5
+		if tr.d.items[id].hos[0].w.Kind == 1 {
+			slow = 1
+		}
+		tr.at(tr.now+hint*slow, func(*Dispatcher) { tr.end(id, 0, Finished) })
+	}
+	tr.log.Reset()
+}
+
+func TestBinsAndLanes(t *testing.T) {
+	tr := start(t, plain())
+	tr.learn()
+	tr.note("cutoff %.0f, speeds %.1f and %.1f", tr.d.cutoff, tr.d.kinds[0].speed, tr.d.kinds[1].speed)
+	tr.say("small to the fast kind, large to the slow one, at random within the kind")
+	for id := uint64(1); id <= 8; id++ {
+		tr.run(id, 0, 50+350*float64(id%2), 40)
+	}
+	tr.say("no slow worker has credit: the large one crosses over")
+	for id := uint64(11); id <= 14; id++ {
+		tr.arrive(id, 0, 400)
+	}
+	for id := uint64(11); id <= 14; id++ {
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0); tr.end(id, 0, Finished) })
+	}
+	tr.say("slow workers refuse: the leak rises by a step each time, and fades")
+	for id := uint64(21); id <= 24; id++ {
+		tr.arrive(id, 0, 400)
+		tr.at(tr.now+1, func(*Dispatcher) { tr.end(id, 0, Full) })
+		tr.note("leak %.3f", tr.d.leakNow())
+		tr.at(tr.now+600, func(d *Dispatcher) { d.Noticed(id, 1, true, 0); tr.end(id, 1, Finished) })
+	}
+	tr.at(tr.now+10000, func(*Dispatcher) {})
+	tr.note("leak %.3f", tr.d.leakNow())
+	tr.check("lanes")
+}
+
+func TestVanishedHandOff(t *testing.T) {
+	tr := start(t, plain())
+	tr.up("f1", "f2")
+	for id := uint64(100); id < 110; id++ {
+		tr.run(id, 0, 100, 100)
+	}
+	tr.log.Reset()
+	tr.say("1 never starts: it is moved when it has waited away half of what it can spare, and f takes work again")
+	tr.arrive(1, 0, 100)
+	tr.at(tr.now+400, func(*Dispatcher) {})
+	tr.at(tr.now+1, func(*Dispatcher) { tr.end(1, 0, Cancelled) })
+	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(1, 1, true, 0) })
+	tr.at(tr.now+100, func(*Dispatcher) { tr.end(1, 1, Finished) })
+	tr.say("2 and 3, exclusive, never start: they leave the books, and both workers are tried again")
+	tr.arrive(2, 1, 100)
+	tr.arrive(3, 1, 100)
+	tr.at(tr.now+1500, func(*Dispatcher) {})
+	tr.arrive(4, 0, 100)
+	tr.arrive(5, 0, 100)
+	tr.check("vanished")
+}
+
+func TestFailingWorker(t *testing.T) {
+	tr := start(t, plain())
+	tr.up("f1", "f2")
+	tr.say("the one that fails fast leaves the draw, for longer each time; exclusive work keeps off its trials")
+	var failed string
+	for id := uint64(1); id <= 24; id++ {
+		tr.arrive(id, int(id%2), 100)
+		it := tr.d.items[id]
+		if it == nil || len(it.hos) == 0 {
+			continue
+		}
+		if w := it.hos[0].w.Worker; failed == "" || failed == w {
+			failed = w
+			tr.at(tr.now+1, func(*Dispatcher) { tr.end(id, 0, Failed) })
+		}
+		if k := len(it.hos) - 1; !it.ended && k >= 0 && !it.hos[k].done {
+			tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, k, true, 0) })
+			tr.at(tr.now+100, func(*Dispatcher) { tr.end(id, k, Finished) })
+		}
+	}
+	tr.check("failing")
+}
+
+func TestShortCapacity(t *testing.T) {
+	s := plain()
+	s.Tenants = []Tenant{{Share: 0.5, PerSec: 4}, {Share: 0.5, PerSec: 4}}
+	s.ExcessCredit = 0.1
+	s.Categories[1] = Category{Due: 300, Expiry: 5000, Credit: 2, LateCredit: 0.1, Kind: -1}
+	tr := start(t, s)
+	tr.up("f1")
+	for id := uint64(100); id < 105; id++ {
+		tr.run(id, 1, 100, 100)
+	}
+	tr.log.Reset()
+	tr.say("full: tenant 0 sends far beyond its share, the excess is deferred at once; tenant 1 waits")
+	for id := uint64(1); id <= 60; id++ {
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Tenant: int(id % 20 / 19), Left: 5000, Hint: 100}) })
+	}
+	tr.say("what can still be in time goes before what is late and still worth something")
+	tr.at(tr.now+1, func(d *Dispatcher) { d.Arrived(WorkItem{ID: 90, Category: 1, Tenant: 1, Left: 5000, Hint: 100}) })
+	tr.at(tr.now+400, func(d *Dispatcher) { d.Arrived(WorkItem{ID: 91, Tenant: 1, Left: 5000, Hint: 100}) })
+	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(1, 0, true, 0); tr.end(1, 0, Finished) })
+	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(91, 0, true, 0); tr.end(91, 0, Finished) })
+	tr.check("short")
+}
+
+func TestSiblings(t *testing.T) {
+	s := plain()
+	s.Siblings, s.MayTell = 2, true
+	tr := start(t, s)
+	tr.up("f1", "f2")
+	tr.say("siblings are told what is out at each worker, at once and again every second")
+	tr.arrive(1, 0, 100)
+	tr.at(2100, func(*Dispatcher) {})
+	tr.say("a sibling tells of two at f1 and at f2: nothing goes there until it tells otherwise or falls silent")
+	tr.say("a list of everything clears what it does not name: a lost message does not stay in the books")
+	f1, f2 := tr.d.byID["f1"].tag, tr.d.byID["f2"].tag
+	tr.at(2110, func(d *Dispatcher) {
+		tr.end(1, 0, Full)
+		d.Heard(1, []byte{byte(f1>>8) | 2, byte(f1), byte(f2>>8) | 2, byte(f2)})
+		d.Heard(1, []byte{1})
+		d.Heard(9, []byte{1, 2})
+	})
+	tr.arrive(2, 0, 100)
+	tr.at(2200, func(d *Dispatcher) { d.Heard(1, []byte{byte(f2 >> 8), byte(f2)}) })
+	tr.at(2300, func(d *Dispatcher) { tr.end(2, 0, Full); d.Heard(1, []byte{0, 0}) })
+	tr.arrive(3, 0, 100)
+	tr.check("siblings")
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "math"
+
 // A ring sums what happened in the last span of time, by buckets used again. It holds one bucket
 // more than a span has, so that it never forgets early.
 type ring struct {
@@ -72,6 +74,7 @@
 	load    int     // work items known to be at the worker with this one
 	at      *int    // the worker's count in which it is, if any
 	done    bool
+	unrun   bool // known not to have run
 	moved   bool // called off by this dispatcher
 }
 
@@ -95,7 +98,7 @@
 	rank   float64 // credit that it earns for each unit of cost
 	hos    []handoff
 	out    int  // hand-offs outstanding
-	mayRan bool // an ended hand-off may have run
+	risk   int  // hand-offs not known not to have run
 	ended  bool // has its final answer
 	stream bool
 	held   bool
@@ -139,3 +142,9 @@
 	stirred bool      // held work may find room that it did not find before
 	arrived bool
 }
+
+// chance draws from [0, 1) by multiply-with-carry.
+func (d *Dispatcher) chance() float64 {
+	d.mwc = 4294957665*(d.mwc&math.MaxUint32) + d.mwc>>32
+	return float64(uint32(d.mwc)) / (1 << 32)
+}
