Late starts move after a fifth of their spare time, where second copies are allowed

Found on the way: moves never acted where one hand-off at a time is allowed, as the rule on second hand-offs hid every other worker. So the condition is now written down.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -398,8 +398,8 @@
 	d.open = keep
 }
 
-// doubt looks at a hand-off that is out. One that has waited away half of what it can spare is moved
-// if it may be. One that stands still, or has not started in twice the time that all known before it
+// doubt looks at a hand-off that is out. One that has waited away a fifth of what it can spare is moved
+// if second copies are allowed. One that stands still, or has not started in twice the time that all known before it
 // takes, is lost: it no longer counts as load. This guards against hand-offs that vanish without a
 // word, which would fill the worker in the books until the item's expiry.
 func (d *Dispatcher) doubt(it *item, ho int, h *handoff) {
@@ -410,7 +410,8 @@
 	case h.started >= 0:
 		lost = d.now-h.heard > 2.5*d.s.Progress
 	default:
-		late = waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/2)
+		// Elsewhere a cancel may leave the work in the queue, and the worker only looks free.
+		late = d.s.SecondCopies && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
 		ahead := h.load
 		if !d.s.MayTell { // as much again may be there unseen
 			ahead += d.kinds[h.w.Kind].slots
