What fits on a worker is learned slowly and can be learned anew

Told from lost capacity by the busy slots: 6 of 12 on the fast kind with a held queue, no change in running time over hint. Change: slower smoothing from an open start, trials at most 16 s apart; where siblings are unheard the next slot must start at once in 85% of cases.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -16,7 +16,7 @@
 const (
 	sampleSize = 512  // hints remembered for the cutoff
 	resetEvery = 5000 // time between cutoff resets
-	fitPace    = 0.3  // smoothing of how many fit, for each start
+	fitPace    = 0.1  // smoothing of how many fit, for each start
 	kindPace   = 0.05 // smoothing of a kind's speed, for each answer
 	workerPace = 0.25 // the same for a worker beside its kind
 	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
@@ -36,11 +36,17 @@
 	for range 8 {
 		d.chance()
 	}
+	if d.enough = 0.5; !s.MayTell {
+		d.enough = 0.85 // siblings' work is unseen: leave room for it
+	}
 	for k := range d.tenants {
 		d.tenants[k].others = make([]uint8, s.Siblings)
 	}
 	for k := range d.kinds {
-		d.kinds[k].slots, d.kinds[k].fit[1] = 1, 1
+		d.kinds[k].slots = 1
+		for n := range d.kinds[k].fit {
+			d.kinds[k].fit[n] = 0.5
+		}
 	}
 	return d
 }
@@ -230,12 +236,12 @@
 		k.fit[n] -= fitPace * k.fit[n]
 		if n > k.slots { // one more does not fit: try that ever more rarely
 			k.tried++
-			k.explore = d.now + tellEvery*math.Exp2(float64(min(k.tried, 10)))
+			k.explore = d.now + tellEvery*math.Exp2(float64(min(k.tried, 4)))
 		}
 	} else {
 		k.fit[n] += fitPace * (1 - k.fit[n])
 	}
-	for k.slots = 1; k.slots+1 < len(k.fit) && k.fit[k.slots+1] > 0.5; {
+	for k.slots = 1; k.slots+1 < len(k.fit) && k.fit[k.slots+1] > d.enough; {
 		k.slots++
 	}
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -121,6 +121,7 @@
 	most    []float64
 	sample  []float64 // hints, a ring
 	sampled int
+	enough  float64 // part of starts at once that shows room for one more
 	sorted  []float64
 	cutoff  float64
 	median  float64
