--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -535,6 +535,8 @@
 			d.ready = append(d.ready, w)
 		}
 	}
+	// Late work waits alone: what waits behind late work would mostly wait in vain.
+	behind := slices.ContainsFunc(d.held, func(it *item) bool { return it.late })
 	for _, it := range slices.Clone(d.held) {
 		if !d.mayRepeat(it, nil) { // its window has passed while it was held
 			d.giveUp(it)
@@ -548,11 +550,11 @@
 			d.giveUp(it)
 		}
 		for !it.ended && d.now+d.least(it) > it.until {
-			if it.late || it.cat.LateCredit == 0 {
+			if it.late || it.cat.LateCredit == 0 || behind {
 				d.giveUp(it)
 				break
 			}
-			it.late, it.until, it.held = true, it.expiry, false
+			it.late, it.until, it.held, behind = true, it.expiry, false, true
 			it.rank *= it.cat.LateCredit // what can still be in time goes first
 			d.held = slices.DeleteFunc(d.held, func(o *item) bool { return o == it })
 			d.hold(it)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -204,11 +204,21 @@
 	for id := uint64(1); id <= 60; id++ {
 		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Tenant: int(id % 20 / 19), Left: 5000, Hint: 100}) })
 	}
-	tr.say("what can still be in time goes before what is late and still worth something")
-	tr.at(tr.now+1, func(d *Dispatcher) { d.Arrived(WorkItem{ID: 90, Category: 1, Tenant: 1, Left: 5000, Hint: 100}) })
-	tr.at(tr.now+400, func(d *Dispatcher) { d.Arrived(WorkItem{ID: 91, Tenant: 1, Left: 5000, Hint: 100}) })
-	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(1, 0, true, 0); tr.end(1, 0, Finished) })
-	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(91, 0, true, 0); tr.end(91, 0, Finished) })
+	tr.at(tr.now+1000, func(d *Dispatcher) { tr.end(1, 0, Cancelled) })
+	tr.up("f1")
+	tr.say("f1 is busy with 89; 90 is late but worth something and waits, 92 would wait behind it and is given up;")
+	tr.say("91 can be in time and goes first, then 90")
+	one := func(id uint64, category int) {
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Category: category, Tenant: 1, Left: 5000, Hint: 100}) })
+	}
+	one(89, 0)
+	one(90, 1)
+	one(92, 1)
+	tr.at(tr.now+400, func(d *Dispatcher) { d.Noticed(89, 0, true, 0) })
+	one(91, 0)
+	tr.at(tr.now+1, func(*Dispatcher) { tr.end(89, 0, Finished) })
+	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(91, 0, true, 0) })
+	tr.at(tr.now+1, func(*Dispatcher) { tr.end(91, 0, Finished) })
 	tr.check("short")
 }
 
