Settings become derived figures; lanes and cutoff in functions of their own

Workers that are gone are forgotten; without start notices what fits is learned from answers that come in time.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -9,6 +9,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -30,17 +31,18 @@
 
 // New makes a dispatcher that knows nothing yet.
 func New(s Settings) *Dispatcher {
-	d := &Dispatcher{s: s, byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
+	d := &Dispatcher{f: derive(s), byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
 		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
-		tenants: make([]tenant, len(s.Tenants)), heardOf: make([]float64, s.Siblings), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, askGap: s.AskWithin / 40}
+		tenants: make([]tenant, len(s.Tenants)), heardOf: make([]float64, max(s.Siblings, 1)),
+		beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, enough: 0.5}
 	for range 8 {
 		d.chance()
 	}
-	if d.enough = 0.5; !s.MayTell {
+	if d.askGap = d.f.askFirst; !s.MayTell {
 		d.enough = 0.85 // siblings' work is unseen: leave room for it
 	}
 	for k := range d.tenants {
-		d.tenants[k].others = make([]uint8, s.Siblings)
+		d.tenants[k].others = make([]uint8, d.f.siblings)
 	}
 	for k := range d.kinds {
 		d.kinds[k].slots = 1
@@ -89,12 +91,12 @@
 // ask keeps the subscription to discovery alive. It asks again when a call failed, ever more
 // slowly, and when nothing was heard for long: a subscription may have died unseen.
 func (d *Dispatcher) ask() {
-	if !d.s.MustAsk {
+	if !d.f.mustAsk {
 		return
 	}
 	gap := d.askGap
 	if d.watched {
-		gap = 3 * d.s.AskWithin
+		gap = d.f.askAgain
 	}
 	if d.asked < 0 || d.now-d.asked >= gap {
 		d.asked = d.now
@@ -107,12 +109,12 @@
 	switch form {
 	case Unavailable: // guards against sending to workers whose drain nobody told
 		d.watched = false
-		d.askGap = min(2*d.askGap, d.s.AskWithin/2)
+		d.askGap = min(2*d.askGap, d.f.askAgain/6)
 		return
 	case Restored:
 	default:
 		if d.asked >= 0 {
-			d.watched, d.asked, d.askGap = true, d.now, d.s.AskWithin/40
+			d.watched, d.asked, d.askGap = true, d.now, d.f.askFirst
 		}
 	}
 	if form != Changes {
@@ -123,7 +125,7 @@
 	for _, e := range entries {
 		w := d.byID[e.Worker]
 		if w == nil {
-			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), others: make([]uint8, d.s.Siblings)}
+			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), others: make([]uint8, d.f.siblings)}
 			for _, c := range []byte(e.Worker) {
 				w.tag = w.tag*31 + uint16(c)
 			}
@@ -143,7 +145,7 @@
 
 // Arrived takes a new work item.
 func (d *Dispatcher) Arrived(wi WorkItem) {
-	it := &item{WorkItem: wi, cat: &d.s.Categories[wi.Category], expiry: d.now + wi.Left}
+	it := &item{WorkItem: wi, cat: &d.f.categories[wi.Category], expiry: d.now + wi.Left}
 	if wi.Hint > 0 {
 		if len(d.sample) < sampleSize {
 			d.sample = append(d.sample, wi.Hint)
@@ -165,7 +167,7 @@
 	it.rank = it.cat.Credit
 	if part := d.excess(wi.Tenant); part > 0 && d.chance() < part {
 		it.excess = true
-		it.rank *= d.s.ExcessCredit
+		it.rank *= d.f.excessCredit
 	}
 	d.items[wi.ID] = it
 	d.open = append(d.open, it)
@@ -182,15 +184,15 @@
 	t := &d.tenants[tenant]
 	t.count.add(d.now, tenantSpan, 1)
 	all := t.count.sum(d.now, tenantSpan)
-	if !d.s.MayTell {
-		all *= float64(d.s.Siblings)
+	if !d.f.mayTell {
+		all *= float64(d.f.siblings)
 	}
 	for k, n := range t.others {
 		if d.now-d.heardOf[k] < 3*tellEvery {
 			all += float64(n)
 		}
 	}
-	share := d.s.Tenants[tenant].PerSec * tenantSpan / 1000
+	share := d.f.shares[tenant]
 	if all < share+2*math.Sqrt(share) { // may be chance
 		return 0
 	}
@@ -230,16 +232,23 @@
 	// The gap from hand-off to start is the one direct sight of the worker's queue.
 	w, k, gap := h.w, &d.kinds[h.w.Kind], d.now-h.sent
 	w.minGap = min(w.minGap, gap)
-	n := min(h.load, len(k.fit)-1)
 	if gap > d.grace(w) {
 		w.full = d.now + min(gap, d.span(w))
+	}
+	d.fits(k, h.load, gap <= d.grace(w))
+}
+
+// fits learns how many work items run at once on a worker of the kind: did the nth start at once?
+func (d *Dispatcher) fits(k *kind, n int, did bool) {
+	n = min(n, len(k.fit)-1)
+	if did {
+		k.fit[n] += fitPace * (1 - k.fit[n])
+	} else {
 		k.fit[n] -= fitPace * k.fit[n]
 		if n > k.slots { // one more does not fit: try that ever more rarely
 			k.tried++
 			k.explore = d.now + tellEvery*math.Exp2(float64(min(k.tried, 4)))
 		}
-	} else {
-		k.fit[n] += fitPace * (1 - k.fit[n])
 	}
 	for k.slots = 1; k.slots+1 < len(k.fit) && k.fit[k.slots+1] > d.enough; {
 		k.slots++
@@ -247,7 +256,7 @@
 }
 
 // grace is how long a start notice may take from a worker with room.
-func (d *Dispatcher) grace(w *worker) float64 { return 2*min(w.minGap, d.beat) + 2*d.s.Grain }
+func (d *Dispatcher) grace(w *worker) float64 { return 2*min(w.minGap, d.beat) + d.f.twoGrains }
 
 // span is the running time of a work item of mean cost on the worker.
 func (d *Dispatcher) span(w *worker) float64 { return d.mean * math.Exp(d.kinds[w.Kind].slow) }
@@ -280,7 +289,7 @@
 		d.drop(it)
 	case a.Final:
 		d.end(it)
-	case it.out == 0 && (d.now >= it.expiry || len(it.hos) >= d.s.MaxHandOffs || !d.mayRepeat(it, nil)):
+	case it.out == 0 && (d.now >= it.expiry || len(it.hos) >= d.f.maxHandOffs || !d.mayRepeat(it, nil)):
 		d.giveUp(it) // nothing more may be sent for it
 	default:
 		d.hold(it)
@@ -295,12 +304,15 @@
 		w.fails, w.outTill, w.full = 0, 0, 0
 		run := a.Spent
 		if h.started >= 0 {
-			run = d.now - h.started
-		} else if d.s.TellsStart {
+			run = d.now - h.started // its running time; without notices, its latency
+		}
+		if !d.f.tellsStart { // no notices: a long answer tells of waiting
+			d.fits(k, h.load, run <= 2*d.cost(it, w))
+		} else if h.started < 0 {
 			return
 		}
 		// By logarithms, so that work far costlier than its hint moves the speed by little.
-		x := math.Log(max(run, d.s.Grain/2) / it.Hint)
+		x := math.Log(max(run, d.f.twoGrains/4) / it.Hint)
 		if !k.known {
 			k.slow, k.known = x, true
 			return
@@ -321,7 +333,7 @@
 // fail takes a worker out of the draw, the longer the more failures it had in a row.
 func (d *Dispatcher) fail(w *worker) {
 	w.fails++
-	w.outTill = d.now + min(trialFirst*math.Exp2(float64(w.fails-1)), d.s.Cold)
+	w.outTill = d.now + min(trialFirst*math.Exp2(float64(w.fails-1)), d.f.cold)
 }
 
 func (d *Dispatcher) leakNow() float64 { return d.leak * math.Exp2((d.leakAt-d.now)/leakHalf) }
@@ -344,11 +356,7 @@
 		return
 	}
 	if it.risk == 0 || it.cat.Repeat == Rerunnable || it.cat.Repeat == Ticketed && it.cat.Group == GroupAll {
-		pause := 0.0
-		if d.s.MayPause {
-			pause = min(d.mean, d.s.MaxPause)
-		}
-		d.out.Defer(it.ID, pause)
+		d.out.Defer(it.ID, min(d.mean, d.f.maxPause))
 	} else {
 		d.out.WriteOff(it.ID)
 	}
@@ -362,7 +370,7 @@
 		it.held = false
 		d.held = slices.DeleteFunc(d.held, func(o *item) bool { return o == it })
 	}
-	if d.s.MayCancel {
+	if d.f.mayCancel {
 		for k := range it.hos {
 			if h := &it.hos[k]; !h.done && !h.moved && !it.stream {
 				h.moved = true
@@ -404,22 +412,22 @@
 	d.open = keep
 }
 
-// doubt looks at a hand-off that is out. One that has waited away a fifth of what it can spare is moved
-// if second copies are allowed. One that stands still, or has not started in twice the time that all known before it
-// takes, is lost: it no longer counts as load. This guards against hand-offs that vanish without a
-// word, which would fill the worker in the books until the item's expiry.
+// doubt looks at a hand-off that is out. One that has waited away a fifth of what it can spare is
+// moved if second copies are allowed. One that stands still, or has not started in twice the time
+// that all known before it takes, is lost: it no longer counts as load. This guards against hand-offs
+// that vanish without a word, which would fill the worker in the books until the item's expiry.
 func (d *Dispatcher) doubt(it *item, ho int, h *handoff) {
 	late, lost := false, false
 	switch waited := d.now - h.sent; {
-	case !d.s.TellsStart || h.started >= 0 && d.s.Progress == 0:
+	case !d.f.tellsStart || h.started >= 0 && d.f.still == 0:
 		lost = waited > 4*max(d.cost(it, h.w), d.span(h.w))
 	case h.started >= 0:
-		lost = d.now-h.heard > 2.5*d.s.Progress
+		lost = d.now-h.heard > d.f.still
 	default:
 		// Elsewhere a cancel may leave the work in the queue, and the worker only looks free.
-		late = d.s.SecondCopies && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
+		late = d.f.copies && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
 		ahead := h.load
-		if !d.s.MayTell { // as much again may be there unseen
+		if !d.f.mayTell { // as much again may be there unseen
 			ahead += d.kinds[h.w.Kind].slots
 		}
 		lost = waited > max(d.grace(h.w), 2*float64(ahead)*d.span(h.w))
@@ -429,19 +437,34 @@
 		d.fail(h.w)
 	}
 	// Only rerunnable work is moved: anything else may have had its effect.
-	if it.cat.Repeat != Rerunnable || !d.s.MayCancel || it.stream || len(it.hos) >= d.s.MaxHandOffs {
+	if it.cat.Repeat != Rerunnable || !d.f.mayCancel || it.stream || len(it.hos) >= d.f.maxHandOffs {
 		return
 	}
-	if lost || late && slices.ContainsFunc(d.workers, func(w *worker) bool { return w != h.w && d.useful(it, w) }) {
+	other := func(w *worker) bool { return w != h.w && d.useful(it, w) }
+	if lost || late && slices.ContainsFunc(d.workers, other) {
 		h.moved = true
 		d.out.Cancel(it.ID, ho)
 	}
 }
 
-// reset learns the lanes and the cutoff anew: kinds by speed, split where the lanes' capacities
-// are most alike, and the cutoff such that the sample's cost below it is the fast lane's part.
+// reset learns the lanes and the cutoff anew, and forgets workers that are gone.
 func (d *Dispatcher) reset() {
 	d.resetAt = d.now + resetEvery
+	d.workers = slices.DeleteFunc(d.workers, func(w *worker) bool {
+		done := w.State == Gone && w.waiting+w.running+w.told == 0
+		if done {
+			delete(d.byID, w.Worker)
+		}
+		return done
+	})
+	if part := d.lanes(); len(d.sample) > 0 {
+		d.cut(part)
+	}
+}
+
+// lanes takes the kinds by speed and splits them where the lanes' capacities are most alike. It
+// returns the fast lane's part of all capacity.
+func (d *Dispatcher) lanes() float64 {
 	total, count := 0.0, 0.0
 	for k := range d.kinds {
 		if d.kinds[k].known {
@@ -471,7 +494,7 @@
 		}
 	}
 	slices.SortStableFunc(order, func(a, b int) int {
-		return int(math.Copysign(1, d.kinds[a].slow-d.kinds[b].slow))
+		return cmp.Compare(d.kinds[a].slow, d.kinds[b].slow)
 	})
 	part, fast, best := 0.0, all, math.Inf(1)
 	for _, k := range order { // fast lane: the kinds up to and with the best end
@@ -488,9 +511,11 @@
 			d.kinds[k].lane = 1
 		}
 	}
-	if len(d.sample) == 0 {
-		return
-	}
+	return fast / max(all, 1e-9)
+}
+
+// cut sets the cutoff such that the sample's cost below it is the given part.
+func (d *Dispatcher) cut(part float64) {
 	d.sorted = append(d.sorted[:0], d.sample...)
 	slices.Sort(d.sorted)
 	d.median = d.sorted[len(d.sorted)/2]
@@ -502,7 +527,7 @@
 	d.cutoff = math.Inf(1)
 	below := 0.0
 	for _, x := range d.sorted {
-		if below += x; below > sum*fast/all {
+		if below += x; below > sum*part {
 			d.cutoff = x
 			break
 		}
@@ -512,10 +537,10 @@
 // warmth is the part of its capacity that a worker has at least, its growth taken as the slowest.
 func (d *Dispatcher) warmth(w *worker) float64 {
 	age := d.now - w.Since
-	if w.Since <= 0 || age >= d.s.Cold {
+	if w.Since <= 0 || age >= d.f.cold {
 		return 1
 	}
-	return d.s.StartShare + (1-d.s.StartShare)*max(age, 0)/d.s.Cold
+	return d.f.startShare + d.f.warming*max(age, 0)
 }
 
 // cost is the running time to expect of an item on a worker.
@@ -585,7 +610,7 @@
 		lane = 1
 	}
 	for _, l := range [2]int{lane, 1 - lane} {
-		if d.s.NearFirst {
+		if d.f.nearFirst {
 			if w := d.draw(it, l, true); w != nil {
 				return d.handOff(it, w)
 			}
@@ -604,7 +629,7 @@
 	d.fit = d.fit[:0]
 	mean, total := 0.0, 0.0
 	for _, w := range d.ready {
-		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.s.Zone) && d.useful(it, w) {
+		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) && d.useful(it, w) {
 			d.fit = append(d.fit, w)
 			mean += float64(d.load(w))
 		}
@@ -657,7 +682,7 @@
 // allowed holds the rules that a hand-off may not break.
 func (d *Dispatcher) allowed(it *item, w *worker) bool {
 	// One final answer, nothing after it, and within the limit of hand-offs.
-	if it.ended || it.stream || d.now >= it.expiry || len(it.hos) >= d.s.MaxHandOffs {
+	if it.ended || it.stream || d.now >= it.expiry || len(it.hos) >= d.f.maxHandOffs {
 		return false
 	}
 	// Drains: never to one that this dispatcher was told drains or is gone.
@@ -665,7 +690,7 @@
 		return false
 	}
 	// No effect twice.
-	if it.out > 0 && (!d.s.SecondCopies || it.cat.Repeat == Exclusive) {
+	if it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) {
 		return false
 	}
 	if !d.mayRepeat(it, w) {
@@ -697,8 +722,8 @@
 // fall window, or one work item when nothing went there for as long as the budget needs for it.
 func (d *Dispatcher) coldRoom(w *worker, cost float64) bool {
 	k := &d.kinds[w.Kind]
-	pace := d.s.FallMultiple * d.warmth(w) * k.speed * float64(k.slots) / float64(max(d.s.Siblings, 1))
-	return cost+w.sent.sum(d.now, d.s.Fall) <= pace*d.s.Fall || d.now-max(w.last, w.Since) >= cost/pace
+	pace := d.f.fallPart * d.warmth(w) * k.speed * float64(k.slots)
+	return cost+w.sent.sum(d.now, d.f.fall) <= pace*d.f.fall || d.now-max(w.last, w.Since) >= cost/pace
 }
 
 // handOff is the one way out for work: every send passes here and keeps the rules or does not go.
@@ -706,10 +731,10 @@
 	if !d.allowed(it, w) {
 		return false
 	}
-	w.sent.add(d.now, d.s.Fall, max(it.Hint, d.mean))
+	w.sent.add(d.now, d.f.fall, max(it.Hint, d.mean))
 	w.last = d.now
 	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w) + 1}
-	if h.to(&w.waiting); !d.s.TellsStart {
+	if h.to(&w.waiting); !d.f.tellsStart {
 		h.started = d.now
 		h.to(&w.running)
 	}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -151,7 +151,7 @@
 	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(1, 1, true, 0) })
 	tr.at(tr.now+100, func(*Dispatcher) { tr.end(1, 1, Finished) })
 	tr.say("second copies allowed: moved as soon as a fifth of its spare time is gone and another has credit")
-	tr.d.s.SecondCopies = true
+	tr.d.f.copies = true
 	tr.arrive(6, 0, 100)
 	tr.at(tr.now+100, func(*Dispatcher) {})
 	tr.at(tr.now+1, func(*Dispatcher) { tr.end(6, 0, Cancelled) })
@@ -202,14 +202,16 @@
 	tr.log.Reset()
 	tr.say("full: tenant 0 sends far beyond its share, the excess is deferred at once; tenant 1 waits")
 	for id := uint64(1); id <= 60; id++ {
-		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Tenant: int(id % 20 / 19), Left: 5000, Hint: 100}) })
+		wi := WorkItem{ID: id, Tenant: int(id % 20 / 19), Left: 5000, Hint: 100}
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(wi) })
 	}
 	tr.at(tr.now+1000, func(d *Dispatcher) { tr.end(1, 0, Cancelled) })
 	tr.up("f1")
 	tr.say("f1 is busy with 89; 90 is late but worth something and waits, 92 would wait behind it and is given up;")
 	tr.say("91 can be in time and goes first, then 90")
 	one := func(id uint64, category int) {
-		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Category: category, Tenant: 1, Left: 5000, Hint: 100}) })
+		wi := WorkItem{ID: id, Category: category, Tenant: 1, Left: 5000, Hint: 100}
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(wi) })
 	}
 	one(89, 0)
 	one(90, 1)
--- a/internal/dispatch/siblings.go
+++ b/internal/dispatch/siblings.go
@@ -4,7 +4,7 @@
 // at each beat, and everything now and then, since messages get lost. A worker takes two bytes, so
 // such a message is even; an odd one tells of the tenants' arrivals.
 func (d *Dispatcher) tell() {
-	if !d.s.MayTell || d.s.Siblings < 2 {
+	if !d.f.mayTell || d.f.siblings < 2 {
 		return
 	}
 	all := d.now >= d.tellAll
@@ -37,7 +37,7 @@
 
 // Heard takes a sibling's message.
 func (d *Dispatcher) Heard(from int, data []byte) {
-	if from < 0 || from >= d.s.Siblings {
+	if from < 0 || from >= d.f.siblings {
 		return
 	}
 	d.heardOf[from] = d.now
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -2,6 +2,49 @@
 
 import "math"
 
+// figures are what decisions use of the settings.
+type figures struct {
+	categories   []Category
+	shares       []float64 // work items of each tenant within its share in one tenantSpan
+	excessCredit float64
+	siblings     int
+	zone         int
+	nearFirst    bool
+	tellsStart   bool
+	mustAsk      bool
+	mayTell      bool
+	mayCancel    bool
+	copies       bool
+	maxHandOffs  int
+	maxPause     float64 // 0: clients take no advice
+	twoGrains    float64
+	still        float64 // no progress for so long: it stands still
+	askFirst     float64 // first wait after a failed call to discovery
+	askAgain     float64 // a subscription is asked for anew after this time without a word
+	startShare   float64
+	warming      float64 // part of its capacity that a cold worker gains in a millisecond, at least
+	cold         float64
+	fall         float64
+	fallPart     float64 // this dispatcher's part of the multiple that pushes a cold worker over
+}
+
+func derive(s Settings) figures {
+	siblings := max(s.Siblings, 1)
+	f := figures{categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, zone: s.Zone,
+		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, mayTell: s.MayTell,
+		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
+		still: 2.5 * s.Progress, askFirst: s.AskWithin / 40, askAgain: 3 * s.AskWithin,
+		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
+		fallPart: s.FallMultiple / float64(siblings)}
+	if s.MayPause {
+		f.maxPause = s.MaxPause
+	}
+	for _, t := range s.Tenants {
+		f.shares = append(f.shares, t.PerSec*tenantSpan/1000)
+	}
+	return f
+}
+
 // A ring sums what happened in the last span of time, by buckets used again. It holds one bucket
 // more than a span has, so that it never forgets early.
 type ring struct {
@@ -108,7 +151,7 @@
 
 // Dispatcher decides for one submitter. Not for use from several goroutines at once.
 type Dispatcher struct {
-	s       Settings // the figures that decisions use
+	f       figures
 	now     float64
 	out     Writer
 	mwc     uint64
