--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -34,22 +34,14 @@
 	d := &Dispatcher{f: derive(s), byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
 		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
 		tenants: make([]tenant, len(s.Tenants)), heardOf: make([]float64, max(s.Siblings, 1)),
-		beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1, enough: 0.5}
+		beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1}
 	for range 8 {
 		d.chance()
 	}
-	if d.askGap = d.f.askFirst; !s.MayTell {
-		d.enough = 0.85 // siblings' work is unseen: leave room for it
-	}
+	d.askGap = d.f.askFirst
 	for k := range d.tenants {
 		d.tenants[k].others = make([]uint8, d.f.siblings)
 	}
-	for k := range d.kinds {
-		d.kinds[k].slots = 1
-		for n := range d.kinds[k].fit {
-			d.kinds[k].fit[n] = 0.5
-		}
-	}
 	return d
 }
 
@@ -60,6 +52,7 @@
 	if now >= d.beatAt {
 		d.beatAt, d.stirred = now+d.beat, true
 		out.Timer(0, d.beat)
+		d.listen()
 		d.sweep()
 		d.ask()
 		d.tell()
@@ -88,6 +81,20 @@
 	return n
 }
 
+// listen finds out whether siblings are heard: fewer than half of them, and their work is unseen. This
+// guards against messages that stop coming: the books would show workers free that are not.
+func (d *Dispatcher) listen() {
+	heard := 0
+	for _, at := range d.heardOf {
+		if at > 0 && d.now-at < 3*tellEvery {
+			heard++
+		}
+	}
+	if d.sight = seen; 2*heard < d.f.siblings-1 {
+		d.sight = unseen
+	}
+}
+
 // ask keeps the subscription to discovery alive. It asks again when a call failed, ever more
 // slowly, and when nothing was heard for long: a subscription may have died unseen.
 func (d *Dispatcher) ask() {
@@ -148,10 +155,9 @@
 	it := &item{WorkItem: wi, cat: &d.f.categories[wi.Category], expiry: d.now + wi.Left}
 	if wi.Hint > 0 {
 		if len(d.sample) < sampleSize {
-			d.sample = append(d.sample, wi.Hint)
-		} else {
-			d.sample[d.sampled%sampleSize] = wi.Hint
+			d.sample = append(d.sample, 0)
 		}
+		d.sample[d.sampled%sampleSize] = wi.Hint
 		d.sampled++
 		if d.sampled&(d.sampled-1) == 0 { // early on, reset as the sample doubles
 			d.resetAt = d.now
@@ -234,24 +240,27 @@
 	w.minGap = min(w.minGap, gap)
 	if gap > d.grace(w) {
 		w.full = d.now + min(gap, d.span(w))
+		w.drained = d.now + gap
 	}
-	d.fits(k, h.load, gap <= d.grace(w))
+	d.fits(k, h, gap <= d.grace(w))
 }
 
 // fits learns how many work items run at once on a worker of the kind: did the nth start at once?
-func (d *Dispatcher) fits(k *kind, n int, did bool) {
-	n = min(n, len(k.fit)-1)
+// What siblings have there counts only while they are heard, so both cases are learned apart; unheard,
+// one more must be nearly sure to start, as room is left for what is unseen.
+func (d *Dispatcher) fits(k *kind, h *handoff, did bool) {
+	r, n, enough := &k.room[h.sight], min(h.load, len(k.room[0].fit)-1), 0.0
+	if h.sight == unseen {
+		enough = 0.7
+	}
 	if did {
-		k.fit[n] += fitPace * (1 - k.fit[n])
-	} else {
-		k.fit[n] -= fitPace * k.fit[n]
-		if n > k.slots { // one more does not fit: try that ever more rarely
-			k.tried++
-			k.explore = d.now + tellEvery*math.Exp2(float64(min(k.tried, 4)))
-		}
+		r.fit[n] += fitPace * (1 - r.fit[n])
+	} else if r.fit[n] -= fitPace * (1 + r.fit[n]); n > r.more+1 {
+		r.tried++ // one more does not fit: try that ever more rarely
+		r.explore = d.now + tellEvery*math.Exp2(float64(min(r.tried, 4)))
 	}
-	for k.slots = 1; k.slots+1 < len(k.fit) && k.fit[k.slots+1] > d.enough; {
-		k.slots++
+	for r.more = 0; r.more+2 < len(r.fit) && r.fit[r.more+2] > enough; {
+		r.more++
 	}
 }
 
@@ -307,7 +316,7 @@
 			run = d.now - h.started // its running time; without notices, its latency
 		}
 		if !d.f.tellsStart { // no notices: a long answer tells of waiting
-			d.fits(k, h.load, run <= 2*d.cost(it, w))
+			d.fits(k, h, run <= 2*d.cost(it, w))
 		} else if h.started < 0 {
 			return
 		}
@@ -321,7 +330,8 @@
 		w.slowAt = d.now
 		k.slow += (x - k.slow) * kindPace
 	case Full:
-		w.full = d.now + d.span(w)
+		// It was taken to have room: what fills it is unseen, or it refuses everything.
+		d.fail(w)
 		if k.lane == 1 { // slow workers refuse: let some large work into the fast lane
 			d.leak, d.leakAt = min(1, d.leakNow()+leakStep), d.now
 		}
@@ -427,8 +437,8 @@
 		// Elsewhere a cancel may leave the work in the queue, and the worker only looks free.
 		late = d.f.copies && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
 		ahead := h.load
-		if !d.f.mayTell { // as much again may be there unseen
-			ahead += d.kinds[h.w.Kind].slots
+		if d.sight == unseen { // as much again may be there
+			ahead += d.kinds[h.w.Kind].slots()
 		}
 		lost = waited > max(d.grace(h.w), 2*float64(ahead)*d.span(h.w))
 	}
@@ -485,7 +495,7 @@
 	for _, w := range d.workers {
 		if w.State == Up && d.now >= w.outTill {
 			k := &d.kinds[w.Kind]
-			c := k.speed * float64(k.slots) * d.warmth(w)
+			c := k.speed * float64(k.slots()) * d.warmth(w)
 			if count == 0 {
 				c = 1
 			}
@@ -545,7 +555,7 @@
 
 // cost is the running time to expect of an item on a worker.
 func (d *Dispatcher) cost(it *item, w *worker) float64 {
-	return it.Hint * math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w))) / d.warmth(w)
+	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w)))/d.warmth(w) + max(0, w.drained-d.now)
 }
 
 // place hands off what is held, best rank first, and gives up what can no longer end in time. What
@@ -661,8 +671,8 @@
 	if d.warmth(w) < 1 && !d.coldRoom(w, d.mean) {
 		return false
 	}
-	n := d.load(w)
-	return n < k.slots || n == k.slots && d.now >= k.explore
+	n, r := d.load(w), &k.room[d.sight]
+	return n <= r.more || n == r.more+1 && d.now >= r.explore
 }
 
 // useful tells whether the draw may stop at this worker for this item.
@@ -722,7 +732,7 @@
 // fall window, or one work item when nothing went there for as long as the budget needs for it.
 func (d *Dispatcher) coldRoom(w *worker, cost float64) bool {
 	k := &d.kinds[w.Kind]
-	pace := d.f.fallPart * d.warmth(w) * k.speed * float64(k.slots)
+	pace := d.f.fallPart * d.warmth(w) * k.speed * float64(k.slots())
 	return cost+w.sent.sum(d.now, d.f.fall) <= pace*d.f.fall || d.now-max(w.last, w.Since) >= cost/pace
 }
 
@@ -733,7 +743,7 @@
 	}
 	w.sent.add(d.now, d.f.fall, max(it.Hint, d.mean))
 	w.last = d.now
-	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w) + 1}
+	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w) + 1, sight: d.sight}
 	if h.to(&w.waiting); !d.f.tellsStart {
 		h.started = d.now
 		h.to(&w.running)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -73,23 +73,37 @@
 
 // A kind of worker with what was learned of it.
 type kind struct {
-	slow    float64 // log of running time over hint, smoothed
-	known   bool
-	fit     [16]float64 // smoothed: did the nth work item on a worker start at once?
-	slots   int         // most that do
-	tried   int         // how often one more did not start at once
-	explore float64     // not before this time is one more than slots tried
-	lane    int         // 0: small bins, 1: large
-	speed   float64     // as of the last reset
-	weight  float64     // capacity as of the last reset
+	slow   float64 // log of running time over hint, smoothed
+	known  bool
+	room   [2]room // with siblings' work seen, and unseen
+	lane   int     // 0: small bins, 1: large
+	speed  float64 // as of the last reset
+	weight float64 // capacity as of the last reset
 }
 
+// Whether the work of siblings is seen.
+const (
+	seen = iota
+	unseen
+)
+
+// A room is what was learned of how many work items run at once on one worker.
+type room struct {
+	fit     [16]float64 // smoothed: did the nth start at once? 1 always, -1 never, 0 not known
+	more    int         // most that do, beyond the first
+	tried   int         // how often one more did not
+	explore float64     // not before this time is one more tried
+}
+
+func (k *kind) slots() int { return 1 + max(k.room[seen].more, k.room[unseen].more) }
+
 // A worker as this dispatcher sees it.
 type worker struct {
 	Entry
 	waiting int // own hand-offs not known to have started
 	running int
 	minGap  float64 // least time seen from hand-off to start notice
+	drained float64 // the queue last met there has drained by then
 	full    float64 // taken to be full until then
 	slow    float64 // log of its slowness beside its kind
 	slowAt  float64
@@ -114,6 +128,7 @@
 	sent    float64
 	started float64 // below 0: not known to have started
 	heard   float64 // last sign of life
+	sight   int     // were siblings seen when it was sent?
 	load    int     // work items known to be at the worker with this one
 	at      *int    // the worker's count in which it is, if any
 	done    bool
@@ -164,7 +179,7 @@
 	most    []float64
 	sample  []float64 // hints, a ring
 	sampled int
-	enough  float64 // part of starts at once that shows room for one more
+	sight   int // are siblings seen?
 	sorted  []float64
 	cutoff  float64
 	median  float64
