--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -18,7 +18,7 @@
 	sampleSize = 512  // hints remembered for the cutoff
 	resetEvery = 5000 // time between cutoff resets
 	fitPace    = 0.1  // smoothing of how many fit, for each start
-	kindPace   = 0.2  // smoothing of a kind's speed, for each answer
+	kindPace   = 0.05 // smoothing of a kind's speed, for each answer
 	workerPace = 0.25 // the same for a worker beside its kind
 	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
 	leakHalf   = 5000 // the leak halves in this time
