--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -564,9 +564,8 @@
 	if len(d.held) == 0 || !d.stirred && !d.arrived {
 		return
 	}
-	d.ready, d.waits = d.ready[:0], 0
+	d.ready = d.ready[:0]
 	for _, w := range d.workers {
-		d.waits += w.waiting
 		if d.hasCredit(w) {
 			d.ready = append(d.ready, w)
 		}
@@ -681,9 +680,6 @@
 	if !d.hasCredit(w) || it.cat.Kind >= 0 && it.cat.Kind != w.Kind {
 		return false
 	}
-	if d.sight == unseen && d.waits >= max(1, len(d.workers)/d.f.siblings) { // its part of one for each worker
-		return false
-	}
 	if n := len(it.hos); n > 0 && it.hos[n-1].w == w { // it just failed or waited there
 		return false
 	}
@@ -753,7 +749,6 @@
 		h.to(&w.running)
 	}
 	it.hos = append(it.hos, h)
-	d.waits++
 	it.out++
 	it.risk++
 	it.held = false
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -200,7 +200,6 @@
 	ready   []*worker // those with credit, this round
 	stirred bool      // held work may find room that it did not find before
 	arrived bool
-	waits   int // own hand-offs anywhere not known to have started
 }
 
 // chance draws from [0, 1) by multiply-with-carry.
