--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -191,7 +191,7 @@
 
 func TestShortCapacity(t *testing.T) {
 	s := plain()
-	s.Tenants = []Tenant{{Share: 0.5, PerSec: 4}, {Share: 0.5, PerSec: 4}}
+	s.Tenants = []Tenant{{PerSec: 4}, {PerSec: 4}}
 	s.ExcessCredit = 0.1
 	s.Categories[1] = Category{Due: 300, Expiry: 5000, Credit: 2, LateCredit: 0.1, Kind: -1}
 	tr := start(t, s)
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -8,7 +8,6 @@
 	Seed         uint64
 	Grain        float64 // least time between rounds
 	Siblings     int     // dispatchers that share the workers, this one included
-	Position     int
 	Zone         int
 	NearFirst    bool // handing off to another zone has a price
 	Kinds        int
@@ -19,7 +18,6 @@
 	Progress     float64 // time between progress notices; 0: none
 	MustAsk      bool    // discovery answers only when asked
 	MayCancel    bool
-	MayProbe     bool
 	MayTell      bool
 	MayPause     bool
 	SecondCopies bool
@@ -68,7 +66,6 @@
 
 // Tenant is what the settings say of one tenant.
 type Tenant struct {
-	Share  float64
 	PerSec float64 // work items a second within its share, all dispatchers together
 }
 
@@ -79,7 +76,6 @@
 	Tenant   int
 	Left     float64 // until the client gives up
 	Hint     float64 // cost at speed 1; 0: none
-	Retry    bool
 }
 
 // Outcome is how a hand-off ended.
@@ -136,7 +132,6 @@
 	Kind   int
 	Cell   int
 	State  State
-	Size   float64 // for comparison with others only
 	Since  float64 // clock time of its last start; 0: long ago
 }
 
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -58,7 +58,7 @@
 	tr.at(tr.now+1, func(d *Dispatcher) {
 		var list []Entry
 		for _, n := range names {
-			list = append(list, Entry{Worker: n, Kind: strings.Index("fs", n[:1]), Size: 1})
+			list = append(list, Entry{Worker: n, Kind: strings.Index("fs", n[:1])})
 		}
 		d.Listed(Complete, list)
 	})
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -250,11 +250,10 @@
 	p.must("categories.count", "siblings", "granularity", "allowed.max_hand_offs",
 		"safety.start_capacity", "safety.cold", "safety.fall", "safety.fall_multiple")
 	s := dispatch.Settings{Seed: f.id("nonce64"), Grain: p.ms("granularity"),
-		Siblings: int(p.num("siblings", 1)), Position: int(p.num("position", 0)),
+		Siblings:  int(p.num("siblings", 1)),
 		NearFirst: p.num("prices.cross_zone", 0) > 0, ExcessCredit: p.num("excess_credit", 1), TellsStart: p.yes("family_info.tells_start"),
 		Progress: p.ms("family_info.progress"), MustAsk: p.m["discovery"] == "ask",
-		MayCancel: p.yes("allowed.may_cancel"), MayProbe: p.yes("allowed.probes"),
-		MayTell: p.yes("allowed.peers"), MayPause: p.yes("allowed.retry_after"),
+		MayCancel: p.yes("allowed.may_cancel"), MayTell: p.yes("allowed.peers"), MayPause: p.yes("allowed.retry_after"),
 		SecondCopies: p.yes("allowed.second_copies"), MaxPause: p.ms("allowed.max_retry_after"),
 		MaxHandOffs: int(p.num("allowed.max_hand_offs", 1)), AnswerSlack: p.ms("safety.answer_slack"),
 		AskWithin: p.ms("safety.ask_within"), StartShare: p.num("safety.start_capacity", 0),
@@ -303,8 +302,7 @@
 	for k := range int(p.num("realms.count", 0)) {
 		at := "realms." + strconv.Itoa(k) + "."
 		n.names.tenants = append(n.names.tenants, p.m[at+"name"])
-		s.Tenants = append(s.Tenants, dispatch.Tenant{Share: p.num(at+"fraction", 0),
-			PerSec: p.num(at+"allowance_per_s", 0)})
+		s.Tenants = append(s.Tenants, dispatch.Tenant{PerSec: p.num(at+"allowance_per_s", 0)})
 	}
 	return s, f.err
 }
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -228,7 +228,7 @@
 		r := record{worker: string(f.text("worker")), zone: string(f.opt("locality")),
 			kind: string(f.opt("machine"))}
 		r.entry = dispatch.Entry{Worker: r.worker, Cell: int(f.intOr("stripe", 0)),
-			Size: f.numOr("rating", 1), Since: f.timeOr("up_since", 0)}
+			Since: f.timeOr("up_since", 0)}
 		switch state := string(f.text("state")); state {
 		case "up":
 		case "draining":
@@ -284,7 +284,7 @@
 	case "req":
 		wi := dispatch.WorkItem{ID: f.id("job"), Category: n.names.category(f),
 			Tenant: find(n.names.tenants, f.opt("realm")), Left: f.time("time_left"),
-			Hint: f.timeOr("predicted", 0), Retry: f.intOr("repeat", 0) == 1}
+			Hint: f.timeOr("predicted", 0)}
 		if f.err == nil {
 			d.Arrived(wi)
 		}
