--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -243,12 +243,8 @@
 		w.drained = d.now + gap
 	}
 	d.fits(k, h, gap <= d.grace(w))
-	k.wait, k.waitAt = d.queue(k)*(1-fitPace)+gap*fitPace, d.now
 }
 
-// queue is the wait to expect at any worker of the kind, from the late starts of late.
-func (d *Dispatcher) queue(k *kind) float64 { return k.wait * math.Exp2((k.waitAt-d.now)/leakHalf) }
-
 // fits learns how many work items run at once on a worker of the kind: did the nth start at once?
 // What siblings have there counts only while they are heard, so both cases are learned apart; unheard,
 // one more must be nearly sure to start, as room is left for what is unseen.
@@ -559,17 +555,7 @@
 
 // cost is the running time to expect of an item on a worker.
 func (d *Dispatcher) cost(it *item, w *worker) float64 {
-	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w)))/d.warmth(w) + d.backlog(w)
-}
-
-// backlog is the wait to expect at a worker: the rest of the queue last met there, or, while siblings'
-// work is unseen, what starts at its kind have waited of late.
-func (d *Dispatcher) backlog(w *worker) float64 {
-	wait := max(0, w.drained-d.now)
-	if d.sight == unseen {
-		wait = max(wait, d.queue(&d.kinds[w.Kind]))
-	}
-	return wait
+	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w)))/d.warmth(w) + max(0, w.drained-d.now)
 }
 
 // place hands off what is held, best rank first, and gives up what can no longer end in time. What
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -75,8 +75,6 @@
 type kind struct {
 	slow   float64 // log of running time over hint, smoothed
 	known  bool
-	wait   float64 // from hand-off to start, smoothed
-	waitAt float64
 	room   [2]room // with siblings' work seen, and unseen
 	lane   int     // 0: small bins, 1: large
 	speed  float64 // as of the last reset
