--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -255,13 +255,16 @@
 	}
 	if did {
 		r.fit[n] += fitPace * (1 - r.fit[n])
-	} else if r.fit[n] -= fitPace * (1 + r.fit[n]); n > r.more+1 {
+	} else if r.fit[n] -= fitPace * (1 + r.fit[n]); n > r.most+1 {
 		r.tried++ // one more does not fit: try that ever more rarely
 		r.explore = d.now + tellEvery*math.Exp2(float64(min(r.tried, 4)))
 	}
 	for r.more = 0; r.more+2 < len(r.fit) && r.fit[r.more+2] > enough; {
 		r.more++
 	}
+	for r.most = 0; r.most+2 < len(r.fit) && r.fit[r.most+2] > 0; {
+		r.most++
+	}
 }
 
 // grace is how long a start notice may take from a worker with room.
@@ -564,7 +567,7 @@
 	if len(d.held) == 0 || !d.stirred && !d.arrived {
 		return
 	}
-	d.ready = d.ready[:0]
+	d.ready, d.pressed = d.ready[:0], true
 	for _, w := range d.workers {
 		if d.hasCredit(w) {
 			d.ready = append(d.ready, w)
@@ -614,20 +617,23 @@
 }
 
 // choose takes the item's lane by its bin, or the other lane when no worker of its own has credit.
+// Only when none has at all, a worker may get one more that is likely, not sure, to start at once.
 func (d *Dispatcher) choose(it *item) bool {
 	lane := 0
 	if it.Hint >= d.cutoff && d.chance() >= d.leakNow() {
 		lane = 1
 	}
-	for _, l := range [2]int{lane, 1 - lane} {
-		if d.f.nearFirst {
-			if w := d.draw(it, l, true); w != nil {
-				return d.handOff(it, w)
+	for _, d.pressed = range [2]bool{false, true} {
+		for _, l := range [2]int{lane, 1 - lane} {
+			for _, near := range [2]bool{true, false} {
+				if near && !d.f.nearFirst {
+					continue
+				}
+				if w := d.draw(it, l, near); w != nil {
+					return d.handOff(it, w)
+				}
 			}
 		}
-		if w := d.draw(it, l, false); w != nil {
-			return d.handOff(it, w)
-		}
 	}
 	return false
 }
@@ -672,7 +678,7 @@
 		return false
 	}
 	n, r := d.load(w), &k.room[d.sight]
-	return n <= r.more || n == r.more+1 && d.now >= r.explore
+	return n <= r.more || d.pressed && (n <= r.most || n == r.most+1 && d.now >= r.explore)
 }
 
 // useful tells whether the draw may stop at this worker for this item.
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -250,3 +250,19 @@
 	tr.note("siblings unseen: %v, as none was heard for three seconds", tr.d.sight == unseen)
 	tr.check("siblings")
 }
+
+func TestOneMoreWhenPressed(t *testing.T) {
+	s := plain()
+	s.Siblings = 3
+	tr := start(t, s)
+	tr.up("f1", "f2")
+	for id := uint64(1); id <= 5; id++ {
+		tr.arrive(id, 0, 400)
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+		tr.note("sure beyond the first: %d, likely: %d", tr.d.kinds[0].room[unseen].more, tr.d.kinds[0].room[unseen].most)
+		if id == 2 {
+			tr.say("both have one; siblings are unseen, so a second is not sure to start, but nothing else has room")
+		}
+	}
+	tr.check("pressed")
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -91,11 +91,12 @@
 type room struct {
 	fit     [16]float64 // smoothed: did the nth start at once? 1 always, -1 never, 0 not known
 	more    int         // most that do, beyond the first
+	most    int         // the same where it is only likelier than not
 	tried   int         // how often one more did not
 	explore float64     // not before this time is one more tried
 }
 
-func (k *kind) slots() int { return 1 + max(k.room[seen].more, k.room[unseen].more) }
+func (k *kind) slots() int { return 1 + max(k.room[seen].most, k.room[unseen].most) }
 
 // A worker as this dispatcher sees it.
 type worker struct {
@@ -200,6 +201,7 @@
 	ready   []*worker // those with credit, this round
 	stirred bool      // held work may find room that it did not find before
 	arrived bool
+	pressed bool // no worker has sure credit
 }
 
 // chance draws from [0, 1) by multiply-with-carry.
