--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -24,9 +24,12 @@
 	leakHalf   = 5000 // the leak halves in this time
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
-	tellEvery  = 1000 // siblings are told everything again after this time
-	tenantSpan = 5000 // time over which a tenant's arrivals are counted
-	forget     = 1e4  // a worker's own speed fades back to its kind's over this time
+	tellEvery  = 1000    // siblings are told everything again after this time
+	tenantSpan = 5000    // time over which a tenant's arrivals are counted
+	stillAfter = 2.5     // progress intervals without a word: a hand-off stands still
+	askFirst   = 1. / 40 // first wait after a failed call to discovery, of the time within which to ask
+	askAgain   = 3.      // the same for a subscription that says nothing
+	forget     = 1e4     // a worker's own speed fades back to its kind's over this time
 )
 
 // New makes a dispatcher that knows nothing yet.
@@ -182,7 +185,7 @@
 }
 
 // excess counts an arrival of the tenant and tells what part of its traffic lies beyond its share.
-// Siblings not heard, that part is taken from this dispatcher's own traffic as if all had the same.
+// Where messages are not allowed, the siblings' traffic is taken to be like this dispatcher's own.
 func (d *Dispatcher) excess(tenant int) float64 {
 	if tenant < 0 {
 		return 0
@@ -412,9 +415,6 @@
 			continue
 		}
 		keep = append(keep, it)
-		if it.out == 0 {
-			continue
-		}
 		for k := range it.hos {
 			if h := &it.hos[k]; !h.done && !h.moved {
 				d.doubt(it, k, h)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -144,19 +144,20 @@
 		tr.run(id, 0, 100, 100)
 	}
 	tr.log.Reset()
+	anew := func(id uint64) { // the first hand-off is called off, the second runs
+		tr.at(tr.now+1, func(*Dispatcher) { tr.end(id, 0, Cancelled) })
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 1, true, 0) })
+		tr.at(tr.now+100, func(*Dispatcher) { tr.end(id, 1, Finished) })
+	}
 	tr.say("1 never starts: it is lost when it has not started in twice the time of what may be before it, and sent anew")
 	tr.arrive(1, 0, 400)
 	tr.at(tr.now+900, func(*Dispatcher) {})
-	tr.at(tr.now+1, func(*Dispatcher) { tr.end(1, 0, Cancelled) })
-	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(1, 1, true, 0) })
-	tr.at(tr.now+100, func(*Dispatcher) { tr.end(1, 1, Finished) })
+	anew(1)
 	tr.say("second copies allowed: moved as soon as a fifth of its spare time is gone and another has credit")
 	tr.d.f.copies = true
 	tr.arrive(6, 0, 100)
 	tr.at(tr.now+100, func(*Dispatcher) {})
-	tr.at(tr.now+1, func(*Dispatcher) { tr.end(6, 0, Cancelled) })
-	tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(6, 1, true, 0) })
-	tr.at(tr.now+100, func(*Dispatcher) { tr.end(6, 1, Finished) })
+	anew(6)
 	tr.say("2 and 3, exclusive, never start: they leave the books, and both workers are tried again")
 	tr.arrive(2, 1, 100)
 	tr.arrive(3, 1, 100)
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -33,7 +33,7 @@
 	f := figures{categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, zone: s.Zone,
 		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
-		still: 2.5 * s.Progress, askFirst: s.AskWithin / 40, askAgain: 3 * s.AskWithin,
+		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askAgain: askAgain * s.AskWithin,
 		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
 		fallPart: s.FallMultiple / float64(siblings)}
 	if s.MayPause {
