--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -19,12 +19,15 @@
 	resetEvery = 5000 // time between cutoff resets
 	fitPace    = 0.1  // smoothing of how many fit, for each start
 	kindPace   = 0.05 // smoothing of a kind's speed, for each answer
+	latePace   = 0.1  // smoothing of the share of starts that are late, near and far
+	queuePace  = 0.2  // smoothing of the wait at a kind, for each start
 	workerPace = 0.25 // the same for a worker beside its kind
 	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
 	leakHalf   = 5000 // the leak halves in this time
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
-	tellEvery  = 1000    // siblings are told everything again after this time
+	mostShare  = 32      // dispatchers that share a worker where they tell each other, at most
+	unheard    = 3000    // siblings are unseen when none was heard for this time
 	tenantSpan = 5000    // time over which a tenant's arrivals are counted
 	stillAfter = 2.5     // progress intervals without a word: a hand-off stands still
 	askFirst   = 1. / 40 // first wait after a failed call to discovery, of the time within which to ask
@@ -36,15 +39,12 @@
 func New(s Settings) *Dispatcher {
 	d := &Dispatcher{f: derive(s), byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
 		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
-		tenants: make([]tenant, len(s.Tenants)), heardOf: make([]float64, max(s.Siblings, 1)),
-		beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1, asked: -1}
+		arrivals: make([]ring, len(s.Tenants)+1), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
+		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
 		d.chance()
 	}
 	d.askGap = d.f.askFirst
-	for k := range d.tenants {
-		d.tenants[k].others = make([]uint8, d.f.siblings)
-	}
 	return d
 }
 
@@ -55,10 +55,12 @@
 	if now >= d.beatAt {
 		d.beatAt, d.stirred = now+d.beat, true
 		out.Timer(0, d.beat)
-		d.listen()
 		d.sweep()
 		d.ask()
-		d.tell()
+		// While no sibling is heard their work is unseen: the books would show workers free that are not.
+		if d.sight = seen; d.f.siblings > 1 && now-d.heard > unheard {
+			d.sight = unseen
+		}
 	}
 	if now >= d.resetAt {
 		d.reset()
@@ -66,35 +68,47 @@
 	d.place()
 }
 
-// TimerFired needs no more than the round it causes: the beat looks at the clock.
-func (d *Dispatcher) TimerFired(uint64) {}
+// load is what is known to be at a worker: own hand-offs and those that siblings told of.
+func (d *Dispatcher) load(w *worker) int {
+	w.theirs = slices.DeleteFunc(w.theirs, func(l lease) bool { return d.now >= l.till })
+	return w.waiting + w.running + len(w.theirs)
+}
 
-// Probed is heard out; probes are not sent.
-func (d *Dispatcher) Probed(string, bool, Load) {}
+// deal names the dispatcher of one part of them all that shares the worker. Each worker is dealt to one
+// dispatcher of each part, by its id and their numbers alone, so that all deal alike without a word, and no
+// other worker's coming or going changes it. In a small fleet each dispatcher is a part: all share all.
+func (d *Dispatcher) deal(w *worker, part int) int {
+	first := part * d.f.siblings / d.f.parts
+	size := (part+1)*d.f.siblings/d.f.parts - first
+	return first + int(mix(w.hash+uint64(part))%uint64(size))
+}
 
-// load is what is known to be at a worker: own hand-offs and those that siblings told of. A sibling
-// not heard for long may be dead, and what it had out with it.
-func (d *Dispatcher) load(w *worker) int {
-	n := w.waiting + w.running
-	for k, o := range w.others {
-		if d.now-d.heardOf[k] < 3*tellEvery {
-			n += int(o)
+// tell lets those that share the worker know of a hand-off that lasts, and for how long: as expected, and
+// when it is out for longer, for as long again; no span tells that it ended well before. What is short is
+// not worth its messages.
+func (d *Dispatcher) tell(h *handoff, span float64) {
+	h.tellAt = d.now + span
+	for part := 0; d.f.mayTell && part < d.f.parts; part++ {
+		if to := d.deal(h.w, part); to != d.f.number {
+			d.out.Tell(to, d.pack(h.w, span))
 		}
 	}
-	return n
 }
 
-// listen finds out whether siblings are heard: fewer than half of them, and their work is unseen. This
-// guards against messages that stop coming: the books would show workers free that are not.
-func (d *Dispatcher) listen() {
-	heard := 0
-	for _, at := range d.heardOf {
-		if at > 0 && d.now-at < 3*tellEvery {
-			heard++
-		}
+// Heard takes a sibling's message.
+func (d *Dispatcher) Heard(from int, data []byte) {
+	if from < 0 || from >= d.f.siblings || from == d.f.number {
+		return
 	}
-	if d.sight = seen; 2*heard < d.f.siblings-1 {
-		d.sight = unseen
+	d.heard = d.now
+	for _, w := range d.workers {
+		if span, ok := unpack(w, data); ok && d.deal(w, d.f.partOf(from)) == from {
+			if span > 0 {
+				w.theirs = append(w.theirs, lease{from, d.now + span})
+			} else if k := slices.IndexFunc(w.theirs, func(l lease) bool { return l.from == from }); k >= 0 {
+				w.theirs = slices.Delete(w.theirs, k, k+1)
+			}
+		}
 	}
 }
 
@@ -135,11 +149,10 @@
 	for _, e := range entries {
 		w := d.byID[e.Worker]
 		if w == nil {
-			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), others: make([]uint8, d.f.siblings)}
-			for _, c := range []byte(e.Worker) {
-				w.tag = w.tag*31 + uint16(c)
+			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), hash: hash(e.Worker)}
+			if d.deal(w, d.f.partOf(d.f.number)) != d.f.number {
+				continue
 			}
-			w.tag = max((w.tag^w.tag<<12)&^0xf00, 1)
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
@@ -184,28 +197,20 @@
 	d.arrived = true
 }
 
-// excess counts an arrival of the tenant and tells what part of its traffic lies beyond its share.
-// Where messages are not allowed, the siblings' traffic is taken to be like this dispatcher's own.
+// excess counts an arrival of the tenant and tells what part of its traffic lies beyond its share of what
+// arrives here: a dispatcher of little traffic cannot tell what arrives elsewhere.
 func (d *Dispatcher) excess(tenant int) float64 {
 	if tenant < 0 {
 		return 0
 	}
-	t := &d.tenants[tenant]
-	t.count.add(d.now, tenantSpan, 1)
-	all := t.count.sum(d.now, tenantSpan)
-	if !d.f.mayTell {
-		all *= float64(d.f.siblings)
-	}
-	for k, n := range t.others {
-		if d.now-d.heardOf[k] < 3*tellEvery {
-			all += float64(n)
-		}
-	}
-	share := d.f.shares[tenant]
-	if all < share+2*math.Sqrt(share) { // may be chance
+	d.arrivals[len(d.f.shares)].add(d.now, tenantSpan, 1)
+	d.arrivals[tenant].add(d.now, tenantSpan, 1)
+	n := d.arrivals[tenant].sum(d.now, tenantSpan)
+	share := d.f.shares[tenant] * d.arrivals[len(d.f.shares)].sum(d.now, tenantSpan)
+	if n < share+2*math.Sqrt(share) { // may be chance
 		return 0
 	}
-	return 1 - share/all
+	return 1 - share/n
 }
 
 // hold queues an item that has nothing out, by rank.
@@ -245,24 +250,34 @@
 		w.full = d.now + min(gap, d.span(w))
 		w.drained = d.now + gap
 	}
-	d.fits(k, h, gap <= d.grace(w))
+	did, late := gap <= d.grace(w), &d.lateFar
+	d.fits(k, h, did)
+	if w.Zone == d.f.zone {
+		late = &d.lateNear
+	}
+	if *late *= 1 - latePace; !did {
+		*late += latePace
+	}
+	k.queue, k.queueAt = d.queue(k)+(max(0, gap-d.grace(w))-d.queue(k))*queuePace, d.now
+}
+
+// queue is how long a hand-off to the kind waits, by those that started; unsent to, its queues drain.
+func (d *Dispatcher) queue(k *kind) float64 {
+	return max(0, k.queue+k.queueAt-d.now) * float64(d.sight) // none where each worker's is seen
 }
 
 // fits learns how many work items run at once on a worker of the kind: did the nth start at once?
 // What siblings have there counts only while they are heard, so both cases are learned apart; unheard,
 // one more must be nearly sure to start, as room is left for what is unseen.
 func (d *Dispatcher) fits(k *kind, h *handoff, did bool) {
-	r, n, enough := &k.room[h.sight], min(h.load, len(k.room[0].fit)-1), 0.0
-	if h.sight == unseen {
-		enough = 0.7
-	}
+	r, n := &k.room[h.sight], min(h.load, len(k.room[0].fit)-1)
 	if did {
 		r.fit[n] += fitPace * (1 - r.fit[n])
 	} else if r.fit[n] -= fitPace * (1 + r.fit[n]); n > r.most+1 {
 		r.tried++ // one more does not fit: try that ever more rarely
-		r.explore = d.now + tellEvery*math.Exp2(float64(min(r.tried, 4)))
+		r.explore = d.now + 1000*math.Exp2(float64(min(r.tried, 4)))
 	}
-	for r.more = 0; r.more+2 < len(r.fit) && r.fit[r.more+2] > enough; {
+	for r.more = 0; r.more+2 < len(r.fit) && r.fit[r.more+2] > 0.7*float64(h.sight); {
 		r.more++
 	}
 	for r.most = 0; r.most+2 < len(r.fit) && r.fit[r.most+2] > 0; {
@@ -293,6 +308,9 @@
 	h.done = true
 	it.out--
 	h.to(nil)
+	if h.tellAt-d.now > d.f.untold*d.span(h.w) {
+		d.tell(h, 0)
+	}
 	d.stirred = true
 	d.judge(it, h, a)
 	if a.Outcome.ProvesUnrun() {
@@ -314,6 +332,7 @@
 // judge learns from the end of a hand-off: speed from answers, sickness from failures in a row.
 func (d *Dispatcher) judge(it *item, h *handoff, a Answer) {
 	w, k := h.w, &d.kinds[h.w.Kind]
+	k.free = max(k.free, int(a.Load.Free))
 	switch a.Outcome {
 	case Finished:
 		w.fails, w.outTill, w.full = 0, 0, 0
@@ -332,8 +351,7 @@
 			k.slow, k.known = x, true
 			return
 		}
-		w.slow = d.slowness(w)*(1-workerPace) + (x-k.slow)*workerPace
-		w.slowAt = d.now
+		w.slow, w.slowAt = d.slowness(w)*(1-workerPace)+(x-k.slow)*workerPace, d.now
 		k.slow += (x - k.slow) * kindPace
 	case Full:
 		// It was taken to have room: what fills it is unseen, or it refuses everything.
@@ -416,7 +434,11 @@
 		}
 		keep = append(keep, it)
 		for k := range it.hos {
-			if h := &it.hos[k]; !h.done && !h.moved {
+			h := &it.hos[k]
+			if !h.done && d.now >= h.tellAt {
+				d.tell(h, d.now-h.sent)
+			}
+			if !h.done && !h.moved {
 				d.doubt(it, k, h)
 			}
 		}
@@ -464,7 +486,7 @@
 func (d *Dispatcher) reset() {
 	d.resetAt = d.now + resetEvery
 	d.workers = slices.DeleteFunc(d.workers, func(w *worker) bool {
-		done := w.State == Gone && w.waiting+w.running+w.told == 0
+		done := w.State == Gone && w.waiting+w.running == 0
 		if done {
 			delete(d.byID, w.Worker)
 		}
@@ -491,14 +513,14 @@
 		if kd := &d.kinds[k]; !kd.known && count > 0 {
 			kd.slow = total / count
 		}
-		d.kinds[k].speed = math.Exp(-d.kinds[k].slow)
+		d.kinds[k].each = math.Exp(-d.kinds[k].slow) * float64(d.kinds[k].slots())
 		order = append(order, k)
 	}
 	all := 0.0
 	for _, w := range d.workers {
 		if w.State == Up && d.now >= w.outTill {
 			k := &d.kinds[w.Kind]
-			c := k.speed * float64(k.slots()) * d.warmth(w)
+			c := k.each * d.warmth(w)
 			if count == 0 {
 				c = 1
 			}
@@ -509,19 +531,14 @@
 	slices.SortStableFunc(order, func(a, b int) int {
 		return cmp.Compare(d.kinds[a].slow, d.kinds[b].slow)
 	})
-	part, fast, best := 0.0, all, math.Inf(1)
-	for _, k := range order { // fast lane: the kinds up to and with the best end
-		part += d.kinds[k].weight
-		if off := math.Abs(all - 2*part); d.kinds[k].weight > 0 && off < best {
-			best, fast = off, part
-		}
-	}
-	part = 0
-	for _, k := range order {
-		part += d.kinds[k].weight
-		d.kinds[k].lane = 0
-		if part > fast {
-			d.kinds[k].lane = 1
+	before, fast := 0.0, 0.0
+	for _, k := range order { // a kind goes to the lane in which the middle of its capacity lies
+		kd := &d.kinds[k]
+		if before += kd.weight; 2*before-kd.weight > all {
+			kd.lane = 1
+		} else {
+			kd.lane = 0
+			fast += kd.weight
 		}
 	}
 	return fast / max(all, 1e-9)
@@ -558,7 +575,8 @@
 
 // cost is the running time to expect of an item on a worker.
 func (d *Dispatcher) cost(it *item, w *worker) float64 {
-	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w)))/d.warmth(w) + max(0, w.drained-d.now)
+	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w)))/d.warmth(w) +
+		max(0, w.drained-d.now, d.queue(&d.kinds[w.Kind]))
 }
 
 // place hands off what is held, best rank first, and gives up what can no longer end in time. What
@@ -573,8 +591,6 @@
 			d.ready = append(d.ready, w)
 		}
 	}
-	// Late work waits alone: what waits behind late work would mostly wait in vain.
-	behind := slices.ContainsFunc(d.held, func(it *item) bool { return it.late })
 	for _, it := range slices.Clone(d.held) {
 		if !d.mayRepeat(it, nil) { // its window has passed while it was held
 			d.giveUp(it)
@@ -587,15 +603,8 @@
 		if it.excess { // capacity is short: what lies beyond a tenant's share gives way first
 			d.giveUp(it)
 		}
-		for !it.ended && d.now+d.least(it) > it.until {
-			if it.late || it.cat.LateCredit == 0 || behind {
-				d.giveUp(it)
-				break
-			}
-			it.late, it.until, it.held, behind = true, it.expiry, false, true
-			it.rank *= it.cat.LateCredit // what can still be in time goes first
-			d.held = slices.DeleteFunc(d.held, func(o *item) bool { return o == it })
-			d.hold(it)
+		if !it.ended && d.now+d.least(it) > it.until {
+			d.giveUp(it)
 		}
 	}
 	d.held = slices.DeleteFunc(d.held, func(it *item) bool { return !it.held })
@@ -604,16 +613,16 @@
 
 // least is the running time on the fastest kind that may take the item.
 func (d *Dispatcher) least(it *item) float64 {
-	slow := math.Inf(1)
+	least := math.Inf(1)
 	for k := range d.kinds {
 		if d.kinds[k].weight > 0 && (it.cat.Kind < 0 || it.cat.Kind == k) {
-			slow = min(slow, d.kinds[k].slow)
+			least = min(least, it.Hint*math.Exp(d.kinds[k].slow)+d.queue(&d.kinds[k]))
 		}
 	}
-	if math.IsInf(slow, 1) {
+	if math.IsInf(least, 1) { // no worker is up just now
 		return 0
 	}
-	return it.Hint * math.Exp(slow)
+	return least
 }
 
 // choose takes the item's lane by its bin, or the other lane when no worker of its own has credit.
@@ -626,7 +635,7 @@
 	for _, d.pressed = range [2]bool{false, true} {
 		for _, l := range [2]int{lane, 1 - lane} {
 			for _, near := range [2]bool{true, false} {
-				if near && !d.f.nearFirst {
+				if near && (!d.f.nearFirst || d.sight == unseen && d.lateNear >= d.lateFar) {
 					continue
 				}
 				if w := d.draw(it, l, near); w != nil {
@@ -653,11 +662,11 @@
 	mean /= float64(len(d.fit))
 	d.fit = slices.DeleteFunc(d.fit, func(w *worker) bool { return float64(d.load(w)) > mean })
 	for _, w := range d.fit {
-		total += d.kinds[w.Kind].speed
+		total += d.kinds[w.Kind].each
 	}
 	x := d.chance() * total
 	for _, w := range d.fit {
-		if x -= d.kinds[w.Kind].speed; x < 0 {
+		if x -= d.kinds[w.Kind].each; x < 0 {
 			return w
 		}
 	}
@@ -668,13 +677,8 @@
 // has not started takes it away, and so do failures in a row and standing still.
 func (d *Dispatcher) hasCredit(w *worker) bool {
 	k := &d.kinds[w.Kind]
-	if w.State != Up || w.waiting > 0 || d.now < w.full || d.now < w.outTill {
-		return false
-	}
-	if w.fails > 0 && w.running > 0 { // on trial: one at a time
-		return false
-	}
-	if d.warmth(w) < 1 && !d.coldRoom(w, d.mean) {
+	trial := w.fails > 0 // one at a time
+	if w.State != Up || w.waiting > 0 || trial && w.running > 0 || d.now < w.full || d.now < w.outTill {
 		return false
 	}
 	n, r := d.load(w), &k.room[d.sight]
@@ -689,10 +693,8 @@
 	if n := len(it.hos); n > 0 && it.hos[n-1].w == w { // it just failed or waited there
 		return false
 	}
-	if it.cat.Repeat == Exclusive && w.fails > 0 { // a trial may cost the effect
-		return false
-	}
-	return d.now+d.cost(it, w) <= it.until && d.allowed(it, w)
+	trial := w.fails > 0 // may cost the effect
+	return (!trial || it.cat.Repeat != Exclusive) && d.now+d.cost(it, w) <= it.until && d.allowed(it, w)
 }
 
 // allowed holds the rules that a hand-off may not break.
@@ -706,10 +708,7 @@
 		return false
 	}
 	// No effect twice.
-	if it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) {
-		return false
-	}
-	if !d.mayRepeat(it, w) {
+	if it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) || !d.mayRepeat(it, w) {
 		return false
 	}
 	return d.warmth(w) == 1 || d.coldRoom(w, max(it.Hint, d.mean))
@@ -738,7 +737,7 @@
 // fall window, or one work item when nothing went there for as long as the budget needs for it.
 func (d *Dispatcher) coldRoom(w *worker, cost float64) bool {
 	k := &d.kinds[w.Kind]
-	pace := d.f.fallPart * d.warmth(w) * k.speed * float64(k.slots())
+	pace := d.f.fallPart * d.warmth(w) * k.each
 	return cost+w.sent.sum(d.now, d.f.fall) <= pace*d.f.fall || d.now-max(w.last, w.Since) >= cost/pace
 }
 
@@ -754,6 +753,9 @@
 		h.started = d.now
 		h.to(&w.running)
 	}
+	if h.tellAt = d.now + d.f.untold*d.span(w); it.Hint > d.f.untold*d.mean {
+		d.tell(&h, d.cost(it, w))
+	}
 	it.hos = append(it.hos, h)
 	it.out++
 	it.risk++
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -8,6 +8,7 @@
 	Seed         uint64
 	Grain        float64 // least time between rounds
 	Siblings     int     // dispatchers that share the workers, this one included
+	Number       int     // this one's among them, from 0
 	Zone         int
 	NearFirst    bool // handing off to another zone has a price
 	Kinds        int
--- a/internal/dispatch/siblings.go
+++ b/internal/dispatch/siblings.go
@@ -1,58 +1,42 @@
 package dispatch
 
-// tell lets siblings know how many hand-offs this dispatcher has out at each worker: what changed
-// at each beat, and everything now and then, since messages get lost. A worker takes two bytes, so
-// such a message is even; an odd one tells of the tenants' arrivals.
-func (d *Dispatcher) tell() {
-	if !d.f.mayTell || d.f.siblings < 2 {
-		return
-	}
-	all := d.now >= d.tellAll
-	if d.msg = d.msg[:0]; all {
-		d.msg = append(d.msg, 0, 0) // what is not named has nothing: a loss must not stay in the books
-	}
-	for _, w := range d.workers {
-		if n := min(w.waiting+w.running, 15); (all && n > 0 || n != w.told) && len(d.msg) < 254 {
-			d.msg = append(d.msg, byte(w.tag>>8)|byte(n), byte(w.tag))
-			w.told = n
-		}
-	}
-	if len(d.msg) > 0 {
-		d.out.Tell(-1, d.msg)
-	}
-	if !all {
-		return
-	}
-	d.tellAll = d.now + tellEvery
-	if d.msg = d.msg[:0]; len(d.tenants) > 0 {
-		for k := range d.tenants {
-			d.msg = append(d.msg, byte(min(d.tenants[k].count.sum(d.now, tenantSpan), 255)))
-		}
-		if len(d.msg)%2 == 0 {
-			d.msg = append(d.msg, 0)
-		}
-		d.out.Tell(-1, d.msg)
+import "math"
+
+// A message names one worker, by 16 bits of its id's hash, and tells for how long its sender has a further
+// hand-off out there: a byte, on a scale of sixteenths of doublings; 0 for one that ended. Workers whose
+// names collide are told apart by the deal, unless the two dispatchers share both: then both count as
+// loaded until the time told.
+
+func hash(id string) uint64 {
+	h := uint64(14695981039346656037)
+	for _, c := range []byte(id) {
+		h = (h ^ uint64(c)) * 1099511628211
 	}
+	return mix(h)
+}
+
+// mix spreads its bits over all others (the finalizer of MurmurHash3).
+func mix(x uint64) uint64 {
+	x = (x ^ x>>33) * 0xff51afd7ed558ccd
+	x = (x ^ x>>33) * 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
 }
 
-// Heard takes a sibling's message.
-func (d *Dispatcher) Heard(from int, data []byte) {
-	if from < 0 || from >= d.f.siblings {
-		return
+func (d *Dispatcher) pack(w *worker, span float64) []byte {
+	step := 0.
+	if span > 0 {
+		step = min(max(16*math.Log2(span), 1), 255)
 	}
-	d.heardOf[from] = d.now
-	if len(data)%2 == 1 {
-		for k := range min(len(data), len(d.tenants)) {
-			d.tenants[k].others[from] = data[k]
-		}
-		return
+	d.msg = append(d.msg[:0], byte(w.hash>>8), byte(w.hash), byte(step))
+	return d.msg
+}
+
+func unpack(w *worker, data []byte) (span float64, ok bool) {
+	if len(data) != 3 || data[0] != byte(w.hash>>8) || data[1] != byte(w.hash) {
+		return 0, false
 	}
-	for ; len(data) > 0; data = data[2:] {
-		tag := uint16(data[0]&^15)<<8 | uint16(data[1])
-		for _, w := range d.workers {
-			if w.tag == tag || tag == 0 {
-				w.others[from] = data[0] & 15
-			}
-		}
+	if data[2] == 0 {
+		return 0, true
 	}
+	return math.Exp2(float64(data[2]) / 16), true
 }
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -5,9 +5,12 @@
 // figures are what decisions use of the settings.
 type figures struct {
 	categories   []Category
-	shares       []float64 // work items of each tenant within its share in one tenantSpan
+	shares       []float64 // each tenant's share of all that is within the shares
 	excessCredit float64
 	siblings     int
+	number       int     // this dispatcher's among them
+	parts        int     // of all dispatchers; one of each shares a worker
+	untold       float64 // of the mean running time: what is shorter is not worth telling so many
 	zone         int
 	nearFirst    bool
 	tellsStart   bool
@@ -30,21 +33,34 @@
 
 func derive(s Settings) figures {
 	siblings := max(s.Siblings, 1)
-	f := figures{categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, zone: s.Zone,
+	parts := siblings
+	if s.MayTell {
+		parts = min(siblings, mostShare)
+	}
+	f := figures{untold: float64(parts) / (2 * mostShare),
+		categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
+		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
 		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
 		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askAgain: askAgain * s.AskWithin,
 		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
-		fallPart: s.FallMultiple / float64(siblings)}
+		fallPart: s.FallMultiple / float64(parts)}
 	if s.MayPause {
 		f.maxPause = s.MaxPause
 	}
+	all := 0.0
+	for _, t := range s.Tenants {
+		all += t.PerSec
+	}
 	for _, t := range s.Tenants {
-		f.shares = append(f.shares, t.PerSec*tenantSpan/1000)
+		f.shares = append(f.shares, t.PerSec/max(all, 1e-9))
 	}
 	return f
 }
 
+// partOf tells in which part of all dispatchers one is.
+func (f *figures) partOf(number int) int { return ((number+1)*f.parts - 1) / f.siblings }
+
 // A ring sums what happened in the last span of time, by buckets used again. It holds one bucket
 // more than a span has, so that it never forgets early.
 type ring struct {
@@ -73,12 +89,15 @@
 
 // A kind of worker with what was learned of it.
 type kind struct {
-	slow   float64 // log of running time over hint, smoothed
-	known  bool
-	room   [2]room // with siblings' work seen, and unseen
-	lane   int     // 0: small bins, 1: large
-	speed  float64 // as of the last reset
-	weight float64 // capacity as of the last reset
+	slow    float64 // log of running time over hint, smoothed
+	known   bool
+	room    [2]room // with siblings' work seen, and unseen
+	queue   float64 // smoothed wait before the start, as of queueAt
+	queueAt float64
+	lane    int     // 0: small bins, 1: large
+	free    int     // most slots that a report showed free
+	each    float64 // capacity of one worker as of the last reset: speed times slots
+	weight  float64 // capacity as of the last reset
 }
 
 // Whether the work of siblings is seen.
@@ -91,12 +110,12 @@
 type room struct {
 	fit     [16]float64 // smoothed: did the nth start at once? 1 always, -1 never, 0 not known
 	more    int         // most that do, beyond the first
-	most    int         // the same where it is only likelier than not
 	tried   int         // how often one more did not
 	explore float64     // not before this time is one more tried
+	most    int         // the same where it is only likelier than not
 }
 
-func (k *kind) slots() int { return 1 + max(k.room[seen].most, k.room[unseen].most) }
+func (k *kind) slots() int { return max(1+k.room[seen].most, 1+k.room[unseen].most, k.free) }
 
 // A worker as this dispatcher sees it.
 type worker struct {
@@ -112,15 +131,14 @@
 	outTill float64
 	sent    ring    // cost sent to it in the last fall window
 	last    float64 // time of the last hand-off
-	told    int     // own hand-offs out, as siblings were last told
-	tag     uint16  // its name in messages
-	others  []uint8 // hand-offs of each sibling, as last heard
+	hash    uint64  // of its id
+	theirs  []lease // hand-offs that siblings told of
 }
 
-// A tenant's arrivals.
-type tenant struct {
-	count  ring
-	others []uint8 // the same at each sibling, as last heard
+// A lease is a sibling's hand-off and until when it is taken to be out.
+type lease struct {
+	from int
+	till float64
 }
 
 // A handoff (ho) of one work item to one worker.
@@ -129,6 +147,7 @@
 	sent    float64
 	started float64 // below 0: not known to have started
 	heard   float64 // last sign of life
+	tellAt  float64 // siblings are told of it then if it is still out
 	sight   int     // were siblings seen when it was sent?
 	load    int     // work items known to be at the worker with this one
 	at      *int    // the worker's count in which it is, if any
@@ -152,8 +171,7 @@
 	WorkItem
 	cat    *Category
 	expiry float64
-	until  float64 // must end by then to be of use: the due time, or the expiry if late is worth something
-	late   bool    // until is the expiry
+	until  float64 // due time: must end by then to be of use
 	rank   float64 // credit that it earns for each unit of cost
 	hos    []handoff
 	out    int  // hand-offs outstanding
@@ -167,41 +185,42 @@
 
 // Dispatcher decides for one submitter. Not for use from several goroutines at once.
 type Dispatcher struct {
-	f       figures
-	now     float64
-	out     Writer
-	mwc     uint64
-	workers []*worker
-	byID    map[string]*worker
-	kinds   []kind // one more than named, for workers of no known kind
-	items   map[uint64]*item
-	open    []*item // in order of arrival
-	held    []*item // by rank, then arrival
-	most    []float64
-	sample  []float64 // hints, a ring
-	sampled int
-	sight   int // are siblings seen?
-	sorted  []float64
-	cutoff  float64
-	median  float64
-	mean    float64
-	resetAt float64
-	leak    float64
-	leakAt  float64
-	beatAt  float64
-	beat    float64
-	watched bool
-	asked   float64 // time of the last call to discovery
-	askGap  float64
-	tellAll float64   // when siblings are next told everything
-	heardOf []float64 // last word of each sibling
-	msg     []byte
-	tenants []tenant
-	fit     []*worker
-	ready   []*worker // those with credit, this round
-	stirred bool      // held work may find room that it did not find before
-	arrived bool
-	pressed bool // no worker has sure credit
+	f        figures
+	now      float64
+	out      Writer
+	mwc      uint64
+	workers  []*worker
+	byID     map[string]*worker
+	kinds    []kind // one more than named, for workers of no known kind
+	items    map[uint64]*item
+	open     []*item // in order of arrival
+	held     []*item // by rank, then arrival
+	most     []float64
+	sample   []float64 // hints, a ring
+	sampled  int
+	sight    int     // are siblings seen?
+	lateNear float64 // share of hand-offs in this zone that start late, smoothed
+	lateFar  float64 // the same in others
+	sorted   []float64
+	cutoff   float64
+	median   float64
+	mean     float64
+	resetAt  float64
+	leak     float64
+	leakAt   float64
+	beatAt   float64
+	beat     float64
+	watched  bool
+	asked    float64 // time of the last call to discovery
+	askGap   float64
+	heard    float64 // last word of any sibling
+	msg      []byte
+	arrivals []ring // of each tenant, and of all
+	fit      []*worker
+	ready    []*worker // those with credit, this round
+	stirred  bool      // held work may find room that it did not find before
+	arrived  bool
+	pressed  bool // no worker has sure credit
 }
 
 // chance draws from [0, 1) by multiply-with-carry.
