--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -27,6 +27,7 @@
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
 	mostShare  = 32      // dispatchers that share a worker where they tell each other, at most
+	mostWarm   = 8       // those of them that may send there while it is cold, at most
 	unheard    = 3000    // siblings are unseen when none was heard for this time
 	tenantSpan = 5000    // time over which a tenant's arrivals are counted
 	stillAfter = 2.5     // progress intervals without a word: a hand-off stands still
@@ -85,10 +86,14 @@
 
 // tell lets those that share the worker know of a hand-off that lasts, and for how long: as expected, and
 // when it is out for longer, for as long again; no span tells that it ended well before. What is short is
-// not worth its messages.
+// not worth its messages. Each arrival pays for one telling, so that trouble never makes a flood of them.
 func (d *Dispatcher) tell(h *handoff, span float64) {
 	h.tellAt = d.now + span
-	for part := 0; d.f.mayTell && part < d.f.parts; part++ {
+	if !d.f.mayTell || d.tellings < d.f.parts-1 {
+		return
+	}
+	d.tellings -= d.f.parts - 1
+	for part := range d.f.parts {
 		if to := d.deal(h.w, part); to != d.f.number {
 			d.out.Tell(to, d.pack(h.w, span))
 		}
@@ -150,9 +155,11 @@
 		w := d.byID[e.Worker]
 		if w == nil {
 			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), hash: hash(e.Worker)}
-			if d.deal(w, d.f.partOf(d.f.number)) != d.f.number {
+			part := d.f.partOf(d.f.number)
+			if d.deal(w, part) != d.f.number {
 				continue
 			}
+			w.mayWarm = (part+int(w.hash>>32))%d.f.parts < mostWarm
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
@@ -191,6 +198,7 @@
 		it.excess = true
 		it.rank *= d.f.excessCredit
 	}
+	d.tellings = min(d.tellings+mostShare, mostShare*mostShare)
 	d.items[wi.ID] = it
 	d.open = append(d.open, it)
 	d.hold(it)
@@ -318,8 +326,6 @@
 		it.risk--
 	}
 	switch {
-	case it.ended:
-		d.drop(it)
 	case a.Final:
 		d.end(it)
 	case it.out == 0 && (d.now >= it.expiry || len(it.hos) >= d.f.maxHandOffs || !d.mayRepeat(it, nil)):
@@ -412,24 +418,18 @@
 			}
 		}
 	}
-	d.drop(it)
-}
-
-// drop forgets an item that is answered and has nothing out.
-func (d *Dispatcher) drop(it *item) {
-	if it.ended && it.out == 0 {
-		delete(d.items, it.ID)
-	}
 }
 
-// sweep looks at everything open: what has expired, waits too long or stands still.
+// sweep looks at everything open: what has expired, waits too long or stands still. It forgets what is
+// answered and has nothing out; what is still out counts on, as a cancel may leave it running.
 func (d *Dispatcher) sweep() {
 	keep := d.open[:0]
 	for _, it := range d.open {
 		if !it.ended && !it.stream && d.now >= it.expiry {
 			d.giveUp(it)
 		}
-		if it.ended {
+		if it.ended && it.out == 0 {
+			delete(d.items, it.ID)
 			continue
 		}
 		keep = append(keep, it)
@@ -592,18 +592,12 @@
 		}
 	}
 	for _, it := range slices.Clone(d.held) {
-		if !d.mayRepeat(it, nil) { // its window has passed while it was held
-			d.giveUp(it)
-			continue
-		}
 		if it.seen && !d.stirred || len(d.ready) > 0 && d.choose(it) {
 			continue
 		}
 		it.seen = true
-		if it.excess { // capacity is short: what lies beyond a tenant's share gives way first
-			d.giveUp(it)
-		}
-		if !it.ended && d.now+d.least(it) > it.until {
+		// Capacity is short: what lies beyond a tenant's share gives way first. Then what comes too late.
+		if it.excess || d.now+d.least(it) > it.until || !d.mayRepeat(it, nil) {
 			d.giveUp(it)
 		}
 	}
@@ -711,7 +705,7 @@
 	if it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) || !d.mayRepeat(it, w) {
 		return false
 	}
-	return d.warmth(w) == 1 || d.coldRoom(w, max(it.Hint, d.mean))
+	return d.warmth(w) == 1 || w.mayWarm && d.coldRoom(w, max(it.Hint, d.mean))
 }
 
 // mayRepeat tells whether what may have run already may be sent to the worker, or to any for nil:
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -37,14 +37,14 @@
 	if s.MayTell {
 		parts = min(siblings, mostShare)
 	}
-	f := figures{untold: float64(parts) / (2 * mostShare),
+	f := figures{untold: float64(parts*parts) / (mostShare * mostShare),
 		categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
 		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
 		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
 		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askAgain: askAgain * s.AskWithin,
 		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
-		fallPart: s.FallMultiple / float64(parts)}
+		fallPart: s.FallMultiple / float64(min(parts, mostWarm))}
 	if s.MayPause {
 		f.maxPause = s.MaxPause
 	}
@@ -132,6 +132,7 @@
 	sent    ring    // cost sent to it in the last fall window
 	last    float64 // time of the last hand-off
 	hash    uint64  // of its id
+	mayWarm bool    // is this dispatcher one of the few that may send there while it is cold?
 	theirs  []lease // hand-offs that siblings told of
 }
 
@@ -189,7 +190,7 @@
 	now      float64
 	out      Writer
 	mwc      uint64
-	workers  []*worker
+	workers  []*worker // dealt to this dispatcher
 	byID     map[string]*worker
 	kinds    []kind // one more than named, for workers of no known kind
 	items    map[uint64]*item
@@ -215,6 +216,7 @@
 	askGap   float64
 	heard    float64 // last word of any sibling
 	msg      []byte
+	tellings int    // messages that siblings may still be sent
 	arrivals []ring // of each tenant, and of all
 	fit      []*worker
 	ready    []*worker // those with credit, this round
