--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -40,7 +40,7 @@
 func New(s Settings) *Dispatcher {
 	d := &Dispatcher{f: derive(s), byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
 		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
-		arrivals: make([]ring, len(s.Tenants)+1), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
+		arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
 		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
 		d.chance()
@@ -93,6 +93,7 @@
 		return
 	}
 	d.tellings -= d.f.parts - 1
+	d.tolds.add(d.now, 4*tenantSpan, 1)
 	for part := range d.f.parts {
 		if to := d.deal(h.w, part); to != d.f.number {
 			d.out.Tell(to, d.pack(h.w, span))
@@ -106,6 +107,7 @@
 		return
 	}
 	d.heard = d.now
+	d.heards.add(d.now, 4*tenantSpan, 1)
 	for _, w := range d.workers {
 		if span, ok := unpack(w, data); ok && d.deal(w, d.f.partOf(from)) == from {
 			if span > 0 {
@@ -205,16 +207,16 @@
 	d.arrived = true
 }
 
-// excess counts an arrival of the tenant and tells what part of its traffic lies beyond its share of what
-// arrives here: a dispatcher of little traffic cannot tell what arrives elsewhere.
+// excess counts an arrival of the tenant and tells what part of its traffic lies beyond its share. What
+// arrives elsewhere is taken to be like what arrives here, by the messages heard beside those sent.
 func (d *Dispatcher) excess(tenant int) float64 {
 	if tenant < 0 {
 		return 0
 	}
-	d.arrivals[len(d.f.shares)].add(d.now, tenantSpan, 1)
 	d.arrivals[tenant].add(d.now, tenantSpan, 1)
-	n := d.arrivals[tenant].sum(d.now, tenantSpan)
-	share := d.f.shares[tenant] * d.arrivals[len(d.f.shares)].sum(d.now, tenantSpan)
+	heard := d.heards.sum(d.now, 4*tenantSpan) / float64(max(d.f.parts-1, 1))
+	others := float64(d.f.siblings-1) * (heard + 1) / (d.tolds.sum(d.now, 4*tenantSpan) + 1)
+	n, share := d.arrivals[tenant].sum(d.now, tenantSpan), d.f.shares[tenant]/(1+others)
 	if n < share+2*math.Sqrt(share) { // may be chance
 		return 0
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -5,7 +5,7 @@
 // figures are what decisions use of the settings.
 type figures struct {
 	categories   []Category
-	shares       []float64 // each tenant's share of all that is within the shares
+	shares       []float64 // work items of each tenant within its share in one tenantSpan
 	excessCredit float64
 	siblings     int
 	number       int     // this dispatcher's among them
@@ -48,12 +48,8 @@
 	if s.MayPause {
 		f.maxPause = s.MaxPause
 	}
-	all := 0.0
 	for _, t := range s.Tenants {
-		all += t.PerSec
-	}
-	for _, t := range s.Tenants {
-		f.shares = append(f.shares, t.PerSec/max(all, 1e-9))
+		f.shares = append(f.shares, t.PerSec*tenantSpan/1000)
 	}
 	return f
 }
@@ -217,7 +213,9 @@
 	heard    float64 // last word of any sibling
 	msg      []byte
 	tellings int    // messages that siblings may still be sent
-	arrivals []ring // of each tenant, and of all
+	arrivals []ring // of each tenant
+	heards   ring   // messages of siblings
+	tolds    ring   // tellings of its own
 	fit      []*worker
 	ready    []*worker // those with credit, this round
 	stirred  bool      // held work may find room that it did not find before
