What is lost is no longer told as out; siblings' traffic is weighed over a minute

Cause: hand-offs lost with a worker were told on and on, and a restarted worker kept what was told of its forerunner.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,7 @@
 	mostWarm   = 8       // those of them that may send there while it is cold, at most
 	unheard    = 3000    // siblings are unseen when none was heard for this time
 	tenantSpan = 5000    // time over which a tenant's arrivals are counted
+	weighSpan  = 60000   // time over which this dispatcher's traffic is weighed against that of siblings
 	stillAfter = 2.5     // progress intervals without a word: a hand-off stands still
 	askFirst   = 1. / 40 // first wait after a failed call to discovery, of the time within which to ask
 	askAgain   = 3.      // the same for a subscription that says nothing
@@ -38,14 +39,14 @@
 
 // New makes a dispatcher that knows nothing yet.
 func New(s Settings) *Dispatcher {
-	d := &Dispatcher{f: derive(s), byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
+	f := derive(s)
+	d := &Dispatcher{f: f, askGap: f.askFirst, byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
 		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
 		arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
 		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
 		d.chance()
 	}
-	d.askGap = d.f.askFirst
 	return d
 }
 
@@ -93,7 +94,7 @@
 		return
 	}
 	d.tellings -= d.f.parts - 1
-	d.tolds.add(d.now, 4*tenantSpan, 1)
+	d.tolds.add(d.now, weighSpan, 1)
 	for part := range d.f.parts {
 		if to := d.deal(h.w, part); to != d.f.number {
 			d.out.Tell(to, d.pack(h.w, span))
@@ -101,13 +102,22 @@
 	}
 }
 
+// off takes a hand-off that ended or is lost out of the books, its siblings' too: else they would hold a
+// worker that came back for loaded.
+func (d *Dispatcher) off(h *handoff) {
+	if h.at != nil && h.tellAt-d.now > d.f.untold*d.span(h.w) {
+		d.tell(h, 0)
+	}
+	h.to(nil)
+}
+
 // Heard takes a sibling's message.
 func (d *Dispatcher) Heard(from int, data []byte) {
 	if from < 0 || from >= d.f.siblings || from == d.f.number {
 		return
 	}
 	d.heard = d.now
-	d.heards.add(d.now, 4*tenantSpan, 1)
+	d.heards.add(d.now, weighSpan, 1)
 	for _, w := range d.workers {
 		if span, ok := unpack(w, data); ok && d.deal(w, d.f.partOf(from)) == from {
 			if span > 0 {
@@ -165,7 +175,7 @@
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
-			w.fails, w.outTill, w.slow, w.full = 0, 0, 0, 0
+			w.fails, w.outTill, w.slow, w.full, w.theirs = 0, 0, 0, 0, nil
 		}
 		if e.Kind < 0 || e.Kind >= len(d.kinds) {
 			e.Kind = len(d.kinds) - 1
@@ -214,8 +224,8 @@
 		return 0
 	}
 	d.arrivals[tenant].add(d.now, tenantSpan, 1)
-	heard := d.heards.sum(d.now, 4*tenantSpan) / float64(max(d.f.parts-1, 1))
-	others := float64(d.f.siblings-1) * (heard + 1) / (d.tolds.sum(d.now, 4*tenantSpan) + 1)
+	heard := d.heards.sum(d.now, weighSpan) / float64(max(d.f.parts-1, 1))
+	others := float64(d.f.siblings-1) * (heard + 1) / (d.tolds.sum(d.now, weighSpan) + 1)
 	n, share := d.arrivals[tenant].sum(d.now, tenantSpan), d.f.shares[tenant]/(1+others)
 	if n < share+2*math.Sqrt(share) { // may be chance
 		return 0
@@ -287,12 +297,12 @@
 		r.tried++ // one more does not fit: try that ever more rarely
 		r.explore = d.now + 1000*math.Exp2(float64(min(r.tried, 4)))
 	}
-	for r.more = 0; r.more+2 < len(r.fit) && r.fit[r.more+2] > 0.7*float64(h.sight); {
-		r.more++
-	}
 	for r.most = 0; r.most+2 < len(r.fit) && r.fit[r.most+2] > 0; {
 		r.most++
 	}
+	for r.more = 0; r.more < r.most && r.fit[r.more+2] > 0.7*float64(h.sight); {
+		r.more++
+	}
 }
 
 // grace is how long a start notice may take from a worker with room.
@@ -317,10 +327,7 @@
 	h := &it.hos[a.HO]
 	h.done = true
 	it.out--
-	h.to(nil)
-	if h.tellAt-d.now > d.f.untold*d.span(h.w) {
-		d.tell(h, 0)
-	}
+	d.off(h)
 	d.stirred = true
 	d.judge(it, h, a)
 	if a.Outcome.ProvesUnrun() {
@@ -362,8 +369,7 @@
 		w.slow, w.slowAt = d.slowness(w)*(1-workerPace)+(x-k.slow)*workerPace, d.now
 		k.slow += (x - k.slow) * kindPace
 	case Full:
-		// It was taken to have room: what fills it is unseen, or it refuses everything.
-		d.fail(w)
+		d.fail(w)        // it was taken to have room: what fills it is unseen, or it refuses everything
 		if k.lane == 1 { // slow workers refuse: let some large work into the fast lane
 			d.leak, d.leakAt = min(1, d.leakNow()+leakStep), d.now
 		}
@@ -407,11 +413,7 @@
 
 // end marks an item as answered and calls off what is still out for it.
 func (d *Dispatcher) end(it *item) {
-	it.ended = true
-	if it.held {
-		it.held = false
-		d.held = slices.DeleteFunc(d.held, func(o *item) bool { return o == it })
-	}
+	it.ended, it.held = true, false
 	if d.f.mayCancel {
 		for k := range it.hos {
 			if h := &it.hos[k]; !h.done && !h.moved && !it.stream {
@@ -437,7 +439,7 @@
 		keep = append(keep, it)
 		for k := range it.hos {
 			h := &it.hos[k]
-			if !h.done && d.now >= h.tellAt {
+			if h.at != nil && d.now >= h.tellAt {
 				d.tell(h, d.now-h.sent)
 			}
 			if !h.done && !h.moved {
@@ -470,7 +472,7 @@
 		lost = waited > max(d.grace(h.w), 2*float64(ahead)*d.span(h.w))
 	}
 	if lost && h.at != nil {
-		h.to(nil)
+		d.off(h)
 		d.fail(h.w)
 	}
 	// Only rerunnable work is moved: anything else may have had its effect.
@@ -594,7 +596,7 @@
 		}
 	}
 	for _, it := range slices.Clone(d.held) {
-		if it.seen && !d.stirred || len(d.ready) > 0 && d.choose(it) {
+		if !it.held || it.seen && !d.stirred || len(d.ready) > 0 && d.choose(it) {
 			continue
 		}
 		it.seen = true
