A dispatcher with none of its own workers up goes to any warm one

Cause: where dispatchers outnumber workers, the deal leaves a few of them without any worker, for good or while theirs are gone, and all their work was deferred. With none of its own up, a dispatcher now draws among all, never a cold one. Tests: the deal under 577, colliding names, tellings paid for, the cold budget of 200 together.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -118,7 +118,7 @@
 	}
 	d.heard = d.now
 	d.heards.add(d.now, weighSpan, 1)
-	for _, w := range d.workers {
+	for _, w := range d.part {
 		if span, ok := unpack(w, data); ok && d.deal(w, d.f.partOf(from)) == from {
 			if span > 0 {
 				w.theirs = append(w.theirs, lease{from, d.now + span})
@@ -168,10 +168,8 @@
 		if w == nil {
 			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), hash: hash(e.Worker)}
 			part := d.f.partOf(d.f.number)
-			if d.deal(w, part) != d.f.number {
-				continue
-			}
-			w.mayWarm = (part+int(w.hash>>32))%d.f.parts < mostWarm
+			w.mine = d.deal(w, part) == d.f.number
+			w.mayWarm = w.mine && (part+int(w.hash>>32))%d.f.parts < mostWarm
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
@@ -183,6 +181,14 @@
 		w.Entry = e
 	}
 	d.resetAt, d.stirred = d.now, true
+	up := func(w *worker) bool { return w.mine && w.State == Up }
+	stranded := !slices.ContainsFunc(d.workers, up) // then it goes to any, though never to a cold one
+	d.part = d.part[:0]
+	for _, w := range d.workers {
+		if w.mine || stranded {
+			d.part = append(d.part, w)
+		}
+	}
 }
 
 // Arrived takes a new work item.
@@ -480,7 +486,7 @@
 		return
 	}
 	other := func(w *worker) bool { return w != h.w && d.useful(it, w) }
-	if lost || late && slices.ContainsFunc(d.workers, other) {
+	if lost || late && slices.ContainsFunc(d.part, other) {
 		h.moved = true
 		d.out.Cancel(it.ID, ho)
 	}
@@ -521,14 +527,10 @@
 		order = append(order, k)
 	}
 	all := 0.0
-	for _, w := range d.workers {
+	for _, w := range d.part {
 		if w.State == Up && d.now >= w.outTill {
-			k := &d.kinds[w.Kind]
-			c := k.each * d.warmth(w)
-			if count == 0 {
-				c = 1
-			}
-			k.weight += c
+			c := d.kinds[w.Kind].each * d.warmth(w)
+			d.kinds[w.Kind].weight += c
 			all += c
 		}
 	}
@@ -590,7 +592,7 @@
 		return
 	}
 	d.ready, d.pressed = d.ready[:0], true
-	for _, w := range d.workers {
+	for _, w := range d.part {
 		if d.hasCredit(w) {
 			d.ready = append(d.ready, w)
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -288,7 +288,7 @@
 		for k, d := range all {
 			d.Listed(Complete, listed)
 			for _, w := range d.workers {
-				if w.State == Up {
+				if w.mine && w.State == Up {
 					dealt[w.Worker] = append(dealt[w.Worker], k)
 				}
 			}
@@ -306,7 +306,7 @@
 	for _, d := range all {
 		up := 0
 		for _, w := range d.workers {
-			if w.State == Up {
+			if w.mine && w.State == Up {
 				up++
 			}
 		}
@@ -315,9 +315,85 @@
 	tr.note("workers by number of dispatchers that share them: %v", counts)
 	tr.note("workers a dispatcher has: %d to %d", least, most)
 	tr.note("workers dealt otherwise once 40 others left and 33 came: %d", moved)
+	tr.say("none of its own is up: any warm one will do, a cold one will not")
+	d := tr.d
+	own := func(e Entry) bool { return d.deal(&worker{hash: hash(e.Worker)}, d.f.partOf(0)) == 0 }
+	others := slices.DeleteFunc(list(20), own)
+	tr.at(100000, func(d *Dispatcher) {
+		others[0].Since = 99000
+		d.Listed(Complete, others[:2])
+	})
+	for id := uint64(1); id <= 2; id++ {
+		tr.arrive(id, 0, 100)
+	}
+	tr.note("the cold one is %s", others[0].Worker)
 	tr.check("deal")
 }
 
+func TestManySiblings(t *testing.T) {
+	s := plain()
+	s.Siblings, s.MayTell = 200, true
+	tr := start(t, s)
+	tr.at(1000, func(d *Dispatcher) {
+		var list []Entry
+		for k := range 40 {
+			list = append(list, Entry{Worker: "w" + strconv.Itoa(k)})
+		}
+		d.Listed(Complete, list)
+	})
+	for id := uint64(1); id <= 3; id++ {
+		tr.arrive(id, 1, 400)
+	}
+	tr.at(4900, func(*Dispatcher) {})
+	tr.log.Reset() // the tellings themselves are many
+	tr.say("each arrival pays for one telling to those that share a worker, no more")
+	tr.note("messages left to send after three hand-offs that lasted long: %d", tr.d.tellings)
+	tr.say("two workers whose names collide, one of them dealt to the sender: only that one counts as loaded")
+	tr.say("a sibling that does not share the worker is passed over")
+	var v, w *worker
+	shares := func(w *worker, from int) bool { return tr.d.deal(w, tr.d.f.partOf(from)) == from }
+	from := 0
+	for k := 0; v == nil; k++ {
+		v = &worker{hash: hash(strconv.Itoa(k))}
+		w = &worker{hash: v.hash ^ 1<<40}
+		for from = 1; from < 200 && (!shares(v, from) || shares(w, from)); {
+			from++
+		}
+		if from == 200 {
+			v = nil
+		}
+	}
+	tr.d.part = []*worker{v, w}
+	tr.d.Heard(from, tr.d.pack(v, 1000))
+	stranger := 1
+	for shares(v, stranger) || shares(w, stranger) {
+		stranger++
+	}
+	tr.d.Heard(stranger, tr.d.pack(v, 1000))
+	tr.note("hand-offs told of at one: %d, at the other: %d", len(v.theirs), len(w.theirs))
+	tr.check("many")
+}
+
+func TestColdBudgetOfAll(t *testing.T) {
+	s := plain()
+	s.Siblings, s.Categories[0].Due = 200, 5000
+	tr := start(t, s)
+	tr.say("200 dispatchers meet one worker 14 s after its start, each with work for it alone: few may send there")
+	sent := 0
+	for s.Number = range s.Siblings {
+		one := start(t, s)
+		one.at(100000, func(d *Dispatcher) { d.Listed(Complete, []Entry{{Worker: "f1", Since: 86000}}) })
+		for id := uint64(1); id < 20; id++ {
+			one.arrive(id, 0, 100)
+		}
+		one.at(one.now+500, func(*Dispatcher) {})
+		sent += one.sum["f1"]
+	}
+	tr.now = 100600
+	tr.note("hand-offs of 100 ms each, by all: %d", sent)
+	tr.check("coldall")
+}
+
 func TestOneMoreWhenPressed(t *testing.T) {
 	s := plain()
 	s.Siblings = 3
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -128,6 +128,7 @@
 	sent    ring    // cost sent to it in the last fall window
 	last    float64 // time of the last hand-off
 	hash    uint64  // of its id
+	mine    bool    // dealt to this dispatcher
 	mayWarm bool    // is this dispatcher one of the few that may send there while it is cold?
 	theirs  []lease // hand-offs that siblings told of
 }
@@ -186,7 +187,8 @@
 	now      float64
 	out      Writer
 	mwc      uint64
-	workers  []*worker // dealt to this dispatcher
+	workers  []*worker
+	part     []*worker // those that it uses: dealt to it, or all if none of these is up
 	byID     map[string]*worker
 	kinds    []kind // one more than named, for workers of no known kind
 	items    map[uint64]*item
