--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,7 +26,7 @@
 	leakHalf   = 5000 // the leak halves in this time
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
-	mostShare  = 32      // dispatchers that share a worker where they tell each other, at most
+	mostShare  = 32      // dispatchers that share a worker, at most
 	mostWarm   = 8       // those of them that may send there while it is cold, at most
 	unheard    = 3000    // siblings are unseen when none was heard for this time
 	tenantSpan = 5000    // time over which a tenant's arrivals are counted
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -33,10 +33,7 @@
 
 func derive(s Settings) figures {
 	siblings := max(s.Siblings, 1)
-	parts := siblings
-	if s.MayTell {
-		parts = min(siblings, mostShare)
-	}
+	parts := min(siblings, mostShare)
 	f := figures{untold: float64(parts*parts) / (mostShare * mostShare),
 		categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
 		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
