--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,6 +20,7 @@
 	fitPace    = 0.1  // smoothing of how many fit, for each start
 	kindPace   = 0.05 // smoothing of a kind's speed, for each answer
 	latePace   = 0.1  // smoothing of the share of starts that are late, near and far
+	queueHalf  = 2000 // it halves in this time without a start
 	queuePace  = 0.2  // smoothing of the wait at a kind, for each start
 	workerPace = 0.25 // the same for a worker beside its kind
 	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
@@ -40,8 +41,8 @@
 // New makes a dispatcher that knows nothing yet.
 func New(s Settings) *Dispatcher {
 	f := derive(s)
-	d := &Dispatcher{f: f, askGap: f.askFirst, byID: map[string]*worker{}, items: map[uint64]*item{}, resetAt: -1,
-		mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
+	d := &Dispatcher{f: f, askGap: f.askFirst, byID: map[string]*worker{}, items: map[uint64]*item{},
+		resetAt: -1, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
 		arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
 		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
@@ -287,9 +288,9 @@
 	k.queue, k.queueAt = d.queue(k)+(max(0, gap-d.grace(w))-d.queue(k))*queuePace, d.now
 }
 
-// queue is how long a hand-off to the kind waits, by those that started; unsent to, its queues drain.
+// queue is how long a hand-off to the kind waits, by those that started; twice that must fit.
 func (d *Dispatcher) queue(k *kind) float64 {
-	return max(0, k.queue+k.queueAt-d.now) * float64(d.sight) // none where each worker's is seen
+	return k.queue * math.Exp2((k.queueAt-d.now)/queueHalf) * float64(d.sight) // none where seen
 }
 
 // fits learns how many work items run at once on a worker of the kind: did the nth start at once?
@@ -582,7 +583,7 @@
 // cost is the running time to expect of an item on a worker.
 func (d *Dispatcher) cost(it *item, w *worker) float64 {
 	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w)))/d.warmth(w) +
-		max(0, w.drained-d.now, d.queue(&d.kinds[w.Kind]))
+		max(0, w.drained-d.now, 2*d.queue(&d.kinds[w.Kind]))
 }
 
 // place hands off what is held, best rank first, and gives up what can no longer end in time. What
@@ -616,7 +617,7 @@
 	least := math.Inf(1)
 	for k := range d.kinds {
 		if d.kinds[k].weight > 0 && (it.cat.Kind < 0 || it.cat.Kind == k) {
-			least = min(least, it.Hint*math.Exp(d.kinds[k].slow)+d.queue(&d.kinds[k]))
+			least = min(least, it.Hint*math.Exp(d.kinds[k].slow)+2*d.queue(&d.kinds[k]))
 		}
 	}
 	if math.IsInf(least, 1) { // no worker is up just now
