--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -87,7 +87,7 @@
 }
 
 // tell lets those that share the worker know of a hand-off that lasts, and for how long: as expected, and
-// when it is out for longer, for as long again; no span tells that it ended well before. What is short is
+// when it is out for longer, for a quarter more; no span tells that it ended well before. What is short is
 // not worth its messages. Each arrival pays for one telling, so that trouble never makes a flood of them.
 func (d *Dispatcher) tell(h *handoff, span float64) {
 	h.tellAt = d.now + span
@@ -447,7 +447,7 @@
 		for k := range it.hos {
 			h := &it.hos[k]
 			if h.at != nil && d.now >= h.tellAt {
-				d.tell(h, d.now-h.sent)
+				d.tell(h, max((d.now-h.sent)/4, 4*d.beat))
 			}
 			if !h.done && !h.moved {
 				d.doubt(it, k, h)
