Dead settings, calls and report fields taken out; conditions said where exceptions act

Nothing has read late credit, reported use of cores, or sent a probe, a fetch or a remark since late work is no longer kept: they leave port, adapter and tests. The id's hash comes from the standard library, same values.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -20,9 +20,9 @@
 	fitPace    = 0.1  // smoothing of how many fit, for each start
 	kindPace   = 0.05 // smoothing of a kind's speed, for each answer
 	latePace   = 0.1  // smoothing of the share of starts that are late, near and far
-	queueHalf  = 2000 // it halves in this time without a start
-	queuePace  = 0.2  // smoothing of the wait at a kind, for each start
 	workerPace = 0.25 // the same for a worker beside its kind
+	queuePace  = 0.2  // smoothing of the wait at a kind, for each start
+	queueHalf  = 2000 // it halves in this time without a start
 	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
 	leakHalf   = 5000 // the leak halves in this time
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
@@ -88,7 +88,7 @@
 
 // tell lets those that share the worker know of a hand-off that lasts, and for how long: as expected, and
 // when it is out for longer, for a quarter more; no span tells that it ended well before. What is short is
-// not worth its messages. Each arrival pays for one telling, so that trouble never makes a flood of them.
+// not worth its messages. Each arrival pays for mostShare of these: trouble makes no flood of them.
 func (d *Dispatcher) tell(h *handoff, span float64) {
 	h.tellAt = d.now + span
 	if !d.f.mayTell || d.tellings < d.f.parts-1 {
@@ -626,8 +626,9 @@
 	return least
 }
 
-// choose takes the item's lane by its bin, or the other lane when no worker of its own has credit.
-// Only when none has at all, a worker may get one more that is likely, not sure, to start at once.
+// choose takes the item's lane by its bin, or the other lane when no worker of its own has credit. Near goes
+// first where crossing has a price; while siblings are unseen, only if near starts late less often than far.
+// Only when none has credit, a worker may get one more that is likely, not sure, to start at once.
 func (d *Dispatcher) choose(it *item) bool {
 	lane := 0
 	if it.Hint >= d.cutoff && d.chance() >= d.leakNow() {
@@ -704,14 +705,14 @@
 	if it.ended || it.stream || d.now >= it.expiry || len(it.hos) >= d.f.maxHandOffs {
 		return false
 	}
-	// Drains: never to one that this dispatcher was told drains or is gone.
-	if w.State != Up {
+	if w.State != Up { // drains: never to one that this dispatcher was told drains or is gone
 		return false
 	}
 	// No effect twice.
 	if it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) || !d.mayRepeat(it, w) {
 		return false
 	}
+	// Cold workers: by the few that may warm them, each within its part of the budget.
 	return d.warmth(w) == 1 || w.mayWarm && d.coldRoom(w, max(it.Hint, d.mean))
 }
 
@@ -737,8 +738,7 @@
 // coldRoom keeps a cold worker from being pushed over: this dispatcher's part of the budget of any
 // fall window, or one work item when nothing went there for as long as the budget needs for it.
 func (d *Dispatcher) coldRoom(w *worker, cost float64) bool {
-	k := &d.kinds[w.Kind]
-	pace := d.f.fallPart * d.warmth(w) * k.each
+	pace := d.f.fallPart * d.warmth(w) * d.kinds[w.Kind].each
 	return cost+w.sent.sum(d.now, d.f.fall) <= pace*d.f.fall || d.now-max(w.last, w.Since) >= cost/pace
 }
 
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -198,7 +198,7 @@
 	s := plain()
 	s.Tenants = []Tenant{{PerSec: 4}, {PerSec: 4}}
 	s.ExcessCredit = 0.1
-	s.Categories[1] = Category{Due: 300, Expiry: 5000, Credit: 2, LateCredit: 0.1, Kind: -1}
+	s.Categories[1] = Category{Due: 300, Expiry: 5000, Credit: 2, Kind: -1}
 	tr := start(t, s)
 	tr.up("f1")
 	for id := uint64(100); id < 105; id++ {
@@ -237,7 +237,7 @@
 	tr.say("a sibling tells of two at f1 and at f2: nothing goes there until one ends, early or when told")
 	tr.say("cut short, unknown worker, unknown sender, our own number: passed over")
 	tell := func(from int, worker string, span float64) {
-		w := worker2(tr.d, worker)
+		w := named(tr.d, worker)
 		tr.d.Heard(from, append([]byte(nil), tr.d.pack(w, span)...))
 	}
 	tr.at(2200, func(d *Dispatcher) {
@@ -261,7 +261,7 @@
 	tr.check("siblings")
 }
 
-func worker2(d *Dispatcher, id string) *worker {
+func named(d *Dispatcher, id string) *worker {
 	if w := d.byID[id]; w != nil {
 		return w
 	}
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -54,15 +54,14 @@
 
 // Category is what the settings say of one category.
 type Category struct {
-	Repeat     Repeat
-	Group      Group
-	Window     float64 // a ticketed repeat is known for so long
-	Due        float64
-	Stretch    float64 // the due time grows by so much of the hinted cost
-	Expiry     float64
-	Credit     float64
-	LateCredit float64 // part of the credit earned after the due time
-	Kind       int     // the one kind that runs it, or -1
+	Repeat  Repeat
+	Group   Group
+	Window  float64 // a ticketed repeat is known for so long
+	Due     float64
+	Stretch float64 // the due time grows by so much of the hinted cost
+	Expiry  float64
+	Credit  float64
+	Kind    int // the one kind that runs it, or -1
 }
 
 // Tenant is what the settings say of one tenant.
@@ -100,11 +99,10 @@
 // Load is a worker's own report. Values are -1 where the report lacks them.
 type Load struct {
 	Free float64 // free slots
-	Util float64
 }
 
 // NoLoad is the report that tells nothing.
-var NoLoad = Load{Free: -1, Util: -1}
+var NoLoad = Load{Free: -1}
 
 // Answer ends one hand-off.
 type Answer struct {
@@ -160,9 +158,6 @@
 	Defer(wi uint64, pause float64) // pause 0: no advice
 	WriteOff(wi uint64)
 	Timer(handle uint64, span float64)
-	Probe(worker string)
 	Watch(on bool)
-	Fetch()
 	Tell(to int, data []byte) // to -1: every sibling
-	Remark(text string)
 }
--- a/internal/dispatch/siblings.go
+++ b/internal/dispatch/siblings.go
@@ -1,6 +1,9 @@
 package dispatch
 
-import "math"
+import (
+	"hash/fnv"
+	"math"
+)
 
 // A message names one worker, by 16 bits of its id's hash, and tells for how long its sender has a further
 // hand-off out there: a byte, on a scale of sixteenths of doublings; 0 for one that ended. Workers whose
@@ -8,11 +11,9 @@
 // loaded until the time told.
 
 func hash(id string) uint64 {
-	h := uint64(14695981039346656037)
-	for _, c := range []byte(id) {
-		h = (h ^ uint64(c)) * 1099511628211
-	}
-	return mix(h)
+	h := fnv.New64a()
+	h.Write([]byte(id))
+	return mix(h.Sum64())
 }
 
 // mix spreads its bits over all others (the finalizer of MurmurHash3).
--- a/internal/dispatch/trace_test.go
+++ b/internal/dispatch/trace_test.go
@@ -111,8 +111,5 @@
 func (tr *trace) Defer(wi uint64, pause float64) { tr.note("defer %d, come back in %.0f", wi, pause) }
 func (tr *trace) WriteOff(wi uint64)             { tr.note("write off %d", wi) }
 func (tr *trace) Timer(uint64, float64)          {}
-func (tr *trace) Probe(worker string)            { tr.note("probe %s", worker) }
 func (tr *trace) Watch(on bool)                  { tr.note("watch %v", on) }
-func (tr *trace) Fetch()                         { tr.note("fetch") }
 func (tr *trace) Tell(to int, data []byte)       { tr.note("tell %d: %x", to, data) }
-func (tr *trace) Remark(text string)             { tr.note("remark %s", text) }
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -176,8 +176,6 @@
 			f.fail("stats", "is not a list of pairs")
 		case n.free != "" && string(name) == n.free:
 			l.Free = f.num("stats", value)
-		case string(name) == "util":
-			l.Util = f.num("stats", value)
 		}
 	}
 	return l
@@ -272,7 +270,7 @@
 		p.must(at+"name", at+"semantics", at+"expiry", at+"due_time")
 		c := dispatch.Category{Window: p.ms(at + "window"), Due: p.ms(at + "due_time"),
 			Stretch: p.num(at+"aim_stretch", 0), Expiry: p.ms(at + "expiry"),
-			Credit: p.num(at+"credit", 1), LateCredit: p.num(at+"late_credit", 0), Kind: -1}
+			Credit: p.num(at+"credit", 1), Kind: -1}
 		switch p.m[at+"semantics"] {
 		case "repeatable":
 		case "by_key":
--- a/internal/simwire/writer.go
+++ b/internal/simwire/writer.go
@@ -79,13 +79,6 @@
 	n.end()
 }
 
-// Probe writes a check.
-func (n *instance) Probe(worker string) {
-	n.begin("check")
-	n.text("worker", worker)
-	n.end()
-}
-
 // Watch writes a keep_informed.
 func (n *instance) Watch(on bool) {
 	n.begin("keep_informed")
@@ -97,12 +90,6 @@
 	n.end()
 }
 
-// Fetch writes a snapshot.
-func (n *instance) Fetch() {
-	n.begin("snapshot")
-	n.end()
-}
-
 // Tell writes a broadcast_to.
 func (n *instance) Tell(to int, data []byte) {
 	n.begin("broadcast_to")
@@ -114,10 +101,3 @@
 	n.host.out.Write(hex.AppendEncode(n.host.out.AvailableBuffer(), data))
 	n.end()
 }
-
-// Remark writes a remark.
-func (n *instance) Remark(text string) {
-	n.begin("remark")
-	n.text("msg", text)
-	n.end()
-}
