--- /dev/null
+++ b/cmd/weldmast/main.go
@@ -0,0 +1,57 @@
+// Command weldmast is one dispatcher on sockets. This file only puts it together and waits for its end; it
+// must never decide, read a setting or speak a protocol.
+package main
+
+import (
+	"fmt"
+	"log"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"weldmast/internal/config"
+	"weldmast/internal/node"
+	"weldmast/internal/platform"
+)
+
+func main() {
+	log.SetFlags(log.Ldate | log.Lmicroseconds)
+	if err := run(); err != nil {
+		log.Fatalf("fatal=%q", err)
+	}
+}
+
+func run() error {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	c, err := config.Load(os.Getenv)
+	if err != nil {
+		return fmt.Errorf("configuration: %w", err)
+	}
+	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10) // the collector's aim; the operators' limit kills
+	var known node.Listing
+	if len(c.Known) > 0 {
+		if known, err = platform.DecodeListing(c.Known, c.Names); err != nil {
+			return fmt.Errorf("configuration: known: %w", err)
+		}
+	}
+	o := platform.Options{Listen: c.Listen, Discovery: c.Discovery, PeerListen: c.PeerListen, Peers: c.Peers,
+		PeersAll: c.PeersAll, Number: c.Settings.Number, Names: c.Names, Links: c.Links, Sockets: c.Sockets}
+	for _, category := range c.Settings.Categories {
+		o.Expiries = append(o.Expiries, category.Expiry)
+	}
+	n := node.New(c.Settings, c.Links.MaxOpen, known)
+	p, err := platform.Start(o, n)
+	if err != nil {
+		return err
+	}
+	log.Printf("name=%s pid=%d", c.Name, os.Getpid())
+	go func() {
+		<-stop
+		n.Queue(node.Stop{})
+	}()
+	n.Run(p)
+	p.Close()
+	return nil
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,144 @@
+// Package config owns what the program is told when it starts: it alone reads the environment and the
+// JSON file, checks both and fills in what may be left out. It must never open a socket or decide
+// anything, and nothing else may look at the environment.
+package config
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"weldmast/internal/dispatch"
+	"weldmast/internal/settings"
+)
+
+// Config is checked and complete.
+type Config struct {
+	Name       string
+	Listen     netip.AddrPort
+	Discovery  netip.AddrPort
+	PeerListen netip.AddrPort // not valid: no messages between siblings
+	Peers      []netip.AddrPort
+	PeersAll   netip.AddrPort // not valid: each of Peers is sent to
+	Known      json.RawMessage
+	Settings   dispatch.Settings
+	Names      settings.Names
+	Links      settings.Links
+	MemoryMB   int
+	Sockets    int
+}
+
+// The least with which the program can serve.
+const (
+	leastMemory  = 32
+	leastSockets = 64
+)
+
+// file is the JSON as it stands.
+type file struct {
+	Name       string          `json:"name"`
+	Listen     string          `json:"listen"`
+	Discovery  string          `json:"discovery"`
+	Seed       string          `json:"seed"`
+	Limits     limits          `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	PeersAll   string          `json:"peers_all"`
+	Known      json.RawMessage `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+type limits struct {
+	MemoryMB *int `json:"memory_mb"`
+	Sockets  *int `json:"sockets"`
+}
+
+// Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY go before
+// what it says. An error names the key at fault.
+func Load(getenv func(string) string) (Config, error) {
+	path := getenv("ROUTER_CONFIG")
+	if path == "" {
+		return Config{}, errors.New("ROUTER_CONFIG is missing")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	var f file
+	if err := json.Unmarshal(text, &f); err != nil {
+		var wrong *json.UnmarshalTypeError
+		if errors.As(err, &wrong) {
+			return Config{}, fmt.Errorf("%s: is a %s, wanted a %s", wrong.Field, wrong.Value, wrong.Type)
+		}
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
+	for _, v := range []struct {
+		to   *string
+		name string
+	}{{&f.Name, "ROUTER_NAME"}, {&f.Listen, "ROUTER_LISTEN"}, {&f.Discovery, "ROUTER_DISCOVERY"}} {
+		if set := getenv(v.name); set != "" {
+			*v.to = set
+		}
+	}
+	return f.check()
+}
+
+func (f *file) check() (c Config, err error) {
+	c = Config{Name: f.Name, Known: f.Known, MemoryMB: 192, Sockets: 1024}
+	addr := func(key, text string, must bool) (a netip.AddrPort) {
+		if text == "" && !must || err != nil {
+			return a
+		}
+		if a, err = netip.ParseAddrPort(text); err != nil {
+			err = fmt.Errorf("%s: %q is not an address and port", key, text)
+		}
+		return a
+	}
+	least := func(key string, given *int, to *int, least int) {
+		if given != nil {
+			*to = *given
+		}
+		if *to < least && err == nil {
+			err = fmt.Errorf("%s: %d is below %d", key, *to, least)
+		}
+	}
+	c.Listen = addr("listen", f.Listen, true)
+	c.Discovery = addr("discovery", f.Discovery, true)
+	c.PeerListen = addr("peer_listen", f.PeerListen, false)
+	c.PeersAll = addr("peers_all", f.PeersAll, false)
+	for k, p := range f.Peers {
+		c.Peers = append(c.Peers, addr(fmt.Sprintf("peers[%d]", k), p, true))
+	}
+	least("limits.memory_mb", f.Limits.MemoryMB, &c.MemoryMB, leastMemory)
+	least("limits.sockets", f.Limits.Sockets, &c.Sockets, leastSockets)
+	if err != nil {
+		return c, err
+	}
+	var seed uint64
+	raw, err := hex.DecodeString(f.Seed)
+	if err != nil || len(raw) != 8 {
+		return c, fmt.Errorf("seed: %q is not 16 hex digits", f.Seed)
+	}
+	for _, b := range raw {
+		seed = seed<<8 | uint64(b)
+	}
+	if len(f.Settings) == 0 {
+		return c, errors.New("settings: is missing")
+	}
+	values, err := settings.Nested(f.Settings)
+	if err != nil {
+		return c, fmt.Errorf("settings: %w", err)
+	}
+	if c.Settings, c.Names, c.Links, err = settings.Read(values, seed); err != nil {
+		return c, fmt.Errorf("settings.%w", err)
+	}
+	if s := &c.Settings; len(c.Peers) == 0 || !c.PeerListen.IsValid() {
+		s.MayTell = false // no way to tell anybody
+	} else if len(c.Peers) != s.Siblings {
+		return c, fmt.Errorf("peers: %d addresses for %d siblings", len(c.Peers), s.Siblings)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,507 @@
+// Package node is the dispatcher as a running program, without a protocol. Its one goroutine, the
+// reducer, owns the Dispatcher and every work item, hand-off, timer and phase: whatever happens comes in
+// by its queue as a small typed value, and only it changes state. Reads and writes are effects that it asks
+// a Front for. It must never block on a socket or a queue, parse or format a message, or decide where a work
+// item goes: the Dispatcher does that, called at most once per grain.
+package node
+
+import (
+	"container/heap"
+	"fmt"
+	"log"
+	"math"
+	"sync/atomic"
+	"time"
+
+	"weldmast/internal/dispatch"
+)
+
+// Phase is where the program stands between its start and its exit.
+type Phase int32
+
+// The phases, in their order.
+const (
+	Starting Phase = iota // no list of workers yet
+	Serving
+	Draining // told to stop: answers what it has taken
+	Stopped
+)
+
+func (p Phase) String() string {
+	return [...]string{"starting", "serving", "draining", "stopped"}[p]
+}
+
+// Times of the program itself, in milliseconds; what the operators set is in the settings.
+const (
+	knownAfter  = 500  // an old list must do when discovery has said nothing for so long
+	acceptAfter = 500  // told to stop, it takes work for so long: clients may not know yet
+	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
+	queueSize   = 4096 // values that wait for the reducer
+)
+
+// The front is what speaks to the world. No call may block; what comes of one comes in by the queue.
+type Front interface {
+	// Send starts a hand-off; one Ended follows.
+	Send(s Sending) Attempt
+	// Watch asks discovery for what changed after the revision, in place of an earlier watch, until a Broken.
+	Watch(number int, after int64)
+	// Tell sends a message to a sibling, or to all for -1.
+	Tell(to int, data []byte)
+	// Drain makes clients go elsewhere: no connection is kept beyond its present request.
+	Drain()
+}
+
+// Attempt is a hand-off that the front has under way.
+type Attempt interface {
+	// GiveUp makes the worker drop it as far as it can; an Ended follows, unless one did already.
+	GiveUp()
+}
+
+// Sending is a hand-off to make.
+type Sending struct {
+	WI       uint64
+	HO       int
+	ID       string // the client's, as it came
+	Addr     string
+	Message  any     // what the front gave with the arrival
+	Patience float64 // how long the answer is waited for
+}
+
+// Client is one who waits for a work item's answer. Exactly one Reply comes.
+type Client struct {
+	ID       string
+	Category int
+	Tenant   int
+	Hint     float64
+	Expiry   float64 // on the clock of Now
+	Message  any
+	Reply    chan Reply // with room for one
+	it       *item      // the reducer's
+}
+
+// Result says how a client is answered.
+type Result int
+
+// The results.
+const (
+	Served   Result = iota
+	Deferred        // trying again is harmless
+	WrittenOff
+	Overdue // no answer came in time
+	Repeated
+	Gone // the client left: nobody to answer
+)
+
+// Reply is a client's answer.
+type Reply struct {
+	Result Result
+	Body   string
+	Pause  float64 // 0: no advice
+}
+
+// The values that come in by the queue.
+type (
+	// Arrived is a new work item.
+	Arrived struct{ Client *Client }
+	// Departed is the loss of a client that had not been answered.
+	Departed struct{ Client *Client }
+	// Ended is the end of a hand-off as its connection shows it.
+	Ended struct {
+		WI      uint64
+		HO      int
+		Outcome dispatch.Outcome
+	}
+	// Callback is what a worker tells of a work item.
+	Callback struct {
+		ID, From string
+		State    CallbackState
+		Share    float64
+		Result   string
+	}
+	// Listing is what discovery told.
+	Listing struct {
+		Watch    int // the number of the watch that brought it
+		Revision int64
+		Complete bool
+		Members  []Member
+	}
+	// Broken is the end of a watch.
+	Broken struct{ Watch int }
+	// Heard is a sibling's message.
+	Heard struct {
+		From int
+		Data []byte
+	}
+	// Stop asks for an orderly end.
+	Stop struct{}
+)
+
+// CallbackState is what a callback tells.
+type CallbackState int
+
+// The states.
+const (
+	Started CallbackState = iota
+	Running
+	Done
+	Failed
+	Returned
+	Lost
+)
+
+// Member is a worker as discovery lists it, and where this dispatcher finds it.
+type Member struct {
+	dispatch.Entry
+	Addr string
+}
+
+// handoff is one hand-off as the reducer sees it.
+type handoff struct {
+	worker  string
+	sent    float64
+	attempt Attempt
+	ended   bool
+}
+
+// item is a work item until its client is answered and all its hand-offs have ended.
+type item struct {
+	wi     uint64
+	client *Client
+	hos    []handoff
+	out    int
+	done   bool // the client has its answer, or is gone
+}
+
+// due is a moment at which the reducer must act: of a hand-off, of a work item (ho -1), or of none (wi 0).
+type due struct {
+	at float64
+	wi uint64
+	ho int
+}
+
+type dues []due
+
+func (q dues) Len() int           { return len(q) }
+func (q dues) Less(a, b int) bool { return q[a].at < q[b].at }
+func (q dues) Swap(a, b int)      { q[a], q[b] = q[b], q[a] }
+func (q *dues) Push(x any)        { *q = append(*q, x.(due)) }
+func (q *dues) Pop() any          { x := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return x }
+
+// Node is one dispatcher at work. Only Queue, Phase, Now and Run are for other goroutines.
+type Node struct {
+	s        dispatch.Settings
+	maxOpen  int
+	front    Front
+	d        *dispatch.Dispatcher
+	queue    chan any
+	stopped  chan struct{}
+	phase    atomic.Int32
+	base     time.Time
+	baseMS   float64
+	now      float64
+	lastAt   float64 // time of the last round
+	wake     bool    // a timer of the Dispatcher's is due
+	inbox    []any
+	items    map[uint64]*item
+	byID     map[string]*item
+	addrs    map[string]string
+	open     int // work items whose client waits
+	next     uint64
+	dues     dues
+	mwc      uint64
+	watch    int // number of the present watch
+	asked    bool
+	watchAt  float64 // discovery is asked again then; infinite: not now
+	revision int64
+	listed   bool // discovery itself has spoken
+	startAt  float64
+	drainAt  float64
+}
+
+// New makes a node that serves once it is run; known is the list as it last was, perhaps old.
+func New(s dispatch.Settings, maxOpen int, known Listing) *Node {
+	n := &Node{s: s, maxOpen: maxOpen, d: dispatch.New(s), queue: make(chan any, queueSize),
+		stopped: make(chan struct{}), base: time.Now(), items: map[uint64]*item{}, byID: map[string]*item{},
+		addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1), watchAt: math.Inf(1),
+		revision: known.Revision}
+	n.baseMS = float64(n.base.UnixMicro()) / 1000
+	n.take(known.Members)
+	n.inbox = append(n.inbox, listed{dispatch.Restored, known.Members})
+	return n
+}
+
+// Now is the one clock of arrivals, rounds and workers' starts: Unix time that never goes back.
+func (n *Node) Now() float64 { return n.baseMS + float64(time.Since(n.base))/1e6 }
+
+// Phase tells where the program stands.
+func (n *Node) Phase() Phase { return Phase(n.phase.Load()) }
+
+// Done is closed once the node has stopped.
+func (n *Node) Done() <-chan struct{} { return n.stopped }
+
+// Queue hands a value to the reducer. It waits while the queue is full; false: the node has stopped.
+func (n *Node) Queue(v any) bool {
+	select {
+	case n.queue <- v:
+		return true
+	case <-n.stopped:
+		return false
+	}
+}
+
+// Run is the reducer. It returns once the node was told to stop and has answered all that it took.
+func (n *Node) Run(front Front) {
+	n.front, n.now = front, n.Now()
+	n.startAt = n.now
+	if !n.s.MustAsk {
+		n.ask()
+	}
+	n.round()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for n.Phase() != Stopped {
+		timer.Reset(time.Duration(max(0, n.nextAt()-n.Now()) * 1e6))
+		select {
+		case v := <-n.queue:
+			n.now = n.Now()
+			n.reduce(v)
+			for more := true; more; {
+				select {
+				case v = <-n.queue:
+					n.reduce(v)
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+			n.now = n.Now()
+		}
+		n.timers()
+		if (len(n.inbox) > 0 || n.wake) && n.now >= n.lastAt+n.s.Grain {
+			n.round()
+		}
+	}
+	close(n.stopped)
+}
+
+// nextAt is when the reducer must act if nothing comes in.
+func (n *Node) nextAt() float64 {
+	at := min(n.now+1000, n.watchAt)
+	if len(n.dues) > 0 {
+		at = min(at, n.dues[0].at)
+	}
+	switch n.Phase() {
+	case Starting:
+		at = min(at, n.startAt+knownAfter)
+	case Draining:
+		if n.open == 0 {
+			at = min(at, n.drainAt+acceptAfter)
+		}
+	}
+	if len(n.inbox) > 0 || n.wake {
+		at = min(at, n.lastAt+n.s.Grain)
+	}
+	return at
+}
+
+func (n *Node) enter(p Phase) {
+	log.Printf("phase=%s was=%s open=%d", p, n.Phase(), n.open)
+	n.phase.Store(int32(p))
+}
+
+// reduce takes in one value.
+func (n *Node) reduce(v any) {
+	switch v := v.(type) {
+	case Arrived:
+		n.arrived(v.Client)
+	case Departed:
+		if it := v.Client.it; it != nil && !it.done {
+			n.answer(it, Reply{Result: Gone})
+			n.inbox = append(n.inbox, left(it.wi))
+		}
+	case Ended:
+		n.ended(n.items[v.WI], v.HO, v.Outcome, "")
+	case Callback:
+		n.callback(v)
+	case Listing:
+		n.listing(v)
+	case Broken:
+		if v.Watch != n.watch {
+			return
+		}
+		n.watch++ // nothing more is taken from it
+		if n.s.MustAsk {
+			n.inbox = append(n.inbox, listed{dispatch.Unavailable, nil})
+			return
+		}
+		n.watchAt = n.now + watchGap*(0.5+n.chance())
+	case Heard:
+		n.inbox = append(n.inbox, v)
+	case Stop:
+		if n.Phase() < Draining {
+			n.enter(Draining)
+			n.drainAt = n.now
+			n.front.Drain()
+		}
+	default:
+		panic(fmt.Sprintf("unknown value %T", v))
+	}
+}
+
+func (n *Node) arrived(c *Client) {
+	switch {
+	case n.byID[c.ID] != nil: // it would be a second copy: ids are new with every request
+		log.Printf("bad=repeated id=%q", c.ID)
+		c.Reply <- Reply{Result: Repeated}
+		return
+	case n.open >= n.maxOpen || n.Phase() == Draining && n.now >= n.drainAt+acceptAfter:
+		c.Reply <- Reply{Result: Deferred}
+		return
+	}
+	n.next++
+	it := &item{wi: n.next, client: c}
+	c.it = it
+	n.items[it.wi], n.byID[c.ID] = it, it
+	n.open++
+	n.at(c.Expiry+n.s.AnswerSlack, it.wi, -1)
+	n.inbox = append(n.inbox, it)
+}
+
+// answer gives the client's one answer, the first; what comes later is for the books only.
+func (n *Node) answer(it *item, r Reply) {
+	if it.done {
+		return
+	}
+	it.done = true
+	n.open--
+	it.client.Reply <- r
+	n.forget(it)
+}
+
+func (n *Node) forget(it *item) {
+	if it.done && it.out == 0 {
+		delete(n.items, it.wi)
+		delete(n.byID, it.client.ID)
+	}
+}
+
+// ended ends a hand-off, once: the first outcome counts, later ones are passed over.
+func (n *Node) ended(it *item, ho int, o dispatch.Outcome, result string) {
+	if it == nil || it.hos[ho].ended {
+		return
+	}
+	h := &it.hos[ho]
+	h.ended = true
+	it.out--
+	if o == dispatch.Finished {
+		n.answer(it, Reply{Body: result})
+	}
+	n.inbox = append(n.inbox, dispatch.Answer{WI: it.wi, HO: ho, Outcome: o, Spent: n.now - h.sent,
+		Final: it.done, Load: dispatch.NoLoad})
+	n.forget(it)
+}
+
+// callback applies what a worker tells to the hand-off that is out there. Callbacks repeat and come late:
+// one for what has ended, is unknown or is at another worker changes nothing.
+func (n *Node) callback(c Callback) {
+	it := n.byID[c.ID]
+	if it == nil {
+		return
+	}
+	for ho := range it.hos {
+		h := &it.hos[ho]
+		if h.ended || h.worker != c.From {
+			continue
+		}
+		switch c.State {
+		case Started, Running:
+			n.inbox = append(n.inbox, noticed{it.wi, ho, c.State == Started, c.Share})
+		case Done:
+			n.ended(it, ho, dispatch.Finished, c.Result)
+		case Failed:
+			n.ended(it, ho, dispatch.Failed, "")
+		case Returned:
+			n.ended(it, ho, dispatch.Full, "")
+		case Lost:
+			n.ended(it, ho, dispatch.Reset, "")
+		}
+		return
+	}
+}
+
+func (n *Node) take(members []Member) {
+	for _, m := range members {
+		if n.addrs[m.Worker] = m.Addr; m.State == dispatch.Gone {
+			delete(n.addrs, m.Worker)
+		}
+	}
+}
+
+func (n *Node) listing(l Listing) {
+	if l.Watch != n.watch {
+		return
+	}
+	form := dispatch.Changes
+	if l.Complete {
+		form = dispatch.Complete
+		clear(n.addrs)
+	}
+	n.take(l.Members)
+	n.revision = l.Revision
+	n.listed = true
+	if l.Complete || len(l.Members) > 0 || n.asked {
+		n.inbox = append(n.inbox, listed{form, l.Members})
+	}
+	n.asked = false
+}
+
+// ask opens a watch in place of the one before.
+func (n *Node) ask() {
+	n.watch++
+	n.asked = n.s.MustAsk
+	n.watchAt = math.Inf(1)
+	n.front.Watch(n.watch, n.revision)
+}
+
+func (n *Node) at(when float64, wi uint64, ho int) { heap.Push(&n.dues, due{when, wi, ho}) }
+
+// timers does what is due.
+func (n *Node) timers() {
+	for len(n.dues) > 0 && n.dues[0].at <= n.now {
+		t := heap.Pop(&n.dues).(due)
+		it := n.items[t.wi]
+		switch {
+		case t.wi == 0:
+			n.wake = true
+		case it == nil:
+		case t.ho >= 0:
+			if h := &it.hos[t.ho]; !h.ended {
+				n.ended(it, t.ho, dispatch.TimedOut, "")
+				h.attempt.GiveUp()
+			}
+		case !it.done:
+			log.Printf("overdue=%q", it.client.ID)
+			n.answer(it, Reply{Result: Overdue})
+			n.inbox = append(n.inbox, left(it.wi))
+		}
+	}
+	if n.now >= n.watchAt {
+		n.ask()
+	}
+	switch n.Phase() {
+	case Starting:
+		if n.listed || len(n.addrs) > 0 && n.now >= n.startAt+knownAfter {
+			n.enter(Serving)
+		}
+	case Draining:
+		if n.open == 0 && n.now >= n.drainAt+acceptAfter {
+			n.enter(Stopped)
+		}
+	}
+}
+
+// chance draws from [0, 1) by multiply-with-carry.
+func (n *Node) chance() float64 {
+	n.mwc = 4294957665*(n.mwc&math.MaxUint32) + n.mwc>>32
+	return float64(uint32(n.mwc)) / (1 << 32)
+}
--- /dev/null
+++ b/internal/node/rounds.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"weldmast/internal/dispatch"
+)
+
+// This file is the node's side of the Dispatcher: the Inbox that a round delivers and the Writer that takes
+// its decisions. It must never change what came in, nor choose anything itself.
+
+// What waits for the next round besides *item (an arrival), dispatch.Answer and Heard.
+type (
+	left    uint64
+	noticed struct {
+		wi    uint64
+		ho    int
+		start bool
+		share float64
+	}
+	listed struct {
+		form    dispatch.Form
+		members []Member
+	}
+)
+
+// round lets the Dispatcher decide. What its decisions bring in at once waits for the next round.
+func (n *Node) round() {
+	n.lastAt, n.wake = n.now, false
+	n.d.Round(n.now, n, n)
+}
+
+// Deliver hands over what came in.
+func (n *Node) Deliver(d *dispatch.Dispatcher) {
+	for _, v := range n.inbox {
+		switch v := v.(type) {
+		case *item:
+			c := v.client
+			d.Arrived(dispatch.WorkItem{ID: v.wi, Category: c.Category, Tenant: c.Tenant,
+				Left: max(c.Expiry-n.now, 0), Hint: c.Hint})
+		case left:
+			d.Left(uint64(v))
+		case dispatch.Answer:
+			d.Answered(v)
+		case noticed:
+			d.Noticed(v.wi, v.ho, v.start, v.share)
+		case Heard:
+			d.Heard(v.From, v.Data)
+		case listed:
+			entries := make([]dispatch.Entry, len(v.members))
+			for k, m := range v.members {
+				entries[k] = m.Entry
+			}
+			d.Listed(v.form, entries)
+		}
+	}
+	clear(n.inbox)
+	n.inbox = n.inbox[:0]
+}
+
+// HandOff sends the work item, within the client's time and the limit of hand-offs; else it is moot.
+func (n *Node) HandOff(wi uint64, worker string, patience float64) {
+	it := n.items[wi]
+	if it == nil { // answered, and all its hand-offs have ended
+		return
+	}
+	ho, rest := len(it.hos), it.client.Expiry-n.now
+	if patience <= 0 || patience > rest {
+		patience = rest
+	}
+	it.hos = append(it.hos, handoff{worker: worker, sent: n.now})
+	it.out++
+	addr, known := n.addrs[worker]
+	switch {
+	case it.done || rest <= 0 || ho >= n.s.MaxHandOffs:
+		n.ended(it, ho, dispatch.Moot, "")
+	case !known: // it left the list
+		n.ended(it, ho, dispatch.ConnectFailed, "")
+	default:
+		it.hos[ho].attempt = n.front.Send(Sending{WI: wi, HO: ho, ID: it.client.ID, Addr: addr,
+			Message: it.client.Message, Patience: patience})
+		n.at(n.now+patience, wi, ho)
+	}
+}
+
+// Cancel gives a hand-off up; its end comes when the worker has been told, unless another comes first.
+func (n *Node) Cancel(wi uint64, ho int) {
+	if it := n.items[wi]; it != nil && ho >= 0 && ho < len(it.hos) && !it.hos[ho].ended {
+		it.hos[ho].attempt.GiveUp()
+	}
+}
+
+// Defer answers that trying again is harmless.
+func (n *Node) Defer(wi uint64, pause float64) {
+	if it := n.items[wi]; it != nil {
+		n.answer(it, Reply{Result: Deferred, Pause: pause})
+	}
+}
+
+// WriteOff answers that the work item failed, perhaps with its effect.
+func (n *Node) WriteOff(wi uint64) {
+	if it := n.items[wi]; it != nil {
+		n.answer(it, Reply{Result: WrittenOff})
+	}
+}
+
+// Timer brings on a round; the handle has no use beyond that.
+func (n *Node) Timer(_ uint64, span float64) { n.at(n.now+span, 0, 0) }
+
+// Watch asks discovery for changes, where it tells nothing unasked.
+func (n *Node) Watch(on bool) {
+	if on {
+		n.ask()
+	}
+}
+
+// Tell sends a message to siblings.
+func (n *Node) Tell(to int, data []byte) { n.front.Tell(to, data) }
--- /dev/null
+++ b/internal/platform/discovery.go
@@ -0,0 +1,152 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"net/netip"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"weldmast/internal/dispatch"
+	"weldmast/internal/node"
+	"weldmast/internal/settings"
+)
+
+// This file owns the watch on discovery and the form of its lists. It must never open a watch by itself: the
+// node asks for each one, and is told when it breaks or falls silent.
+
+const (
+	discoveryUp     = time.Second
+	discoverySilent = 6 * time.Second // three of its empty lines are missing
+	listMost        = 8 << 20
+)
+
+// DecodeListing reads one list in discovery's form. A member that cannot be read is passed over.
+func DecodeListing(text []byte, names settings.Names) (node.Listing, error) {
+	var in struct {
+		Revision *int64
+		Complete bool
+		Members  []json.RawMessage
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return node.Listing{}, err
+	}
+	if in.Revision == nil {
+		return node.Listing{}, errors.New("revision is missing")
+	}
+	l := node.Listing{Revision: *in.Revision, Complete: in.Complete}
+	for _, raw := range in.Members {
+		m, err := decodeMember(raw, names)
+		if err != nil {
+			log.Printf("bad=member err=%q", err)
+			continue
+		}
+		l.Members = append(l.Members, m)
+	}
+	return l, nil
+}
+
+var memberStates = map[string]dispatch.State{"in_service": dispatch.Up, "terminating": dispatch.Draining,
+	"terminated": dispatch.Gone}
+
+func decodeMember(text []byte, names settings.Names) (m node.Member, err error) {
+	var in struct {
+		ID       string
+		HostPort string `json:"host_port"`
+		Locality string
+		Flavor   string
+		Cell     int
+		Phase    string
+		UpSince  float64 `json:"up_since_ms"`
+	}
+	if err := json.Unmarshal(text, &in); err != nil {
+		return m, err
+	}
+	state, ok := memberStates[in.Phase]
+	if !ok || in.ID == "" {
+		return m, fmt.Errorf("no id or unknown phase %q", in.Phase)
+	}
+	if _, err := netip.ParseAddrPort(in.HostPort); err != nil && state != dispatch.Gone {
+		return m, fmt.Errorf("host_port: %w", err)
+	}
+	return node.Member{Addr: in.HostPort, Entry: dispatch.Entry{Worker: in.ID, State: state, Cell: in.Cell,
+		Zone: slices.Index(names.Zones, in.Locality), Kind: slices.Index(names.Kinds, in.Flavor),
+		Since: in.UpSince}}, nil
+}
+
+type discovery struct {
+	ctx     context.Context
+	node    *node.Node
+	addr    string
+	names   settings.Names
+	running *sync.WaitGroup
+	stop    context.CancelFunc // of the present watch; the reducer alone calls watch
+}
+
+func (d *discovery) watch(number int, after int64) {
+	if d.stop != nil {
+		d.stop()
+	}
+	ctx, stop := context.WithCancel(d.ctx)
+	d.stop = stop
+	d.running.Go(func() {
+		err := d.read(ctx, number, after)
+		if ctx.Err() == nil {
+			log.Printf("watch=%d err=%q", number, err)
+		}
+		stop()
+		d.node.Queue(node.Broken{Watch: number})
+	})
+}
+
+func (d *discovery) read(ctx context.Context, number int, after int64) error {
+	dialer := net.Dialer{Timeout: discoveryUp}
+	conn, err := dialer.DialContext(ctx, "tcp", d.addr)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	defer context.AfterFunc(ctx, func() { conn.Close() })()
+	var q fasthttp.Request
+	q.Header.SetRequestURI("/v1/endpoints?watch=1&after=" + strconv.FormatInt(after, 10))
+	q.Header.SetHost(d.addr)
+	conn.SetDeadline(time.Now().Add(discoverySilent))
+	if _, err = conn.Write(q.Header.AppendBytes(nil)); err != nil {
+		return err
+	}
+	var r fasthttp.Response
+	r.StreamBody = true
+	if err = r.ReadLimitBody(bufio.NewReader(conn), 0); err != nil {
+		return err
+	}
+	if r.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("status %d", r.StatusCode())
+	}
+	lines := bufio.NewScanner(r.BodyStream())
+	lines.Buffer(nil, listMost)
+	for lines.Scan() {
+		conn.SetDeadline(time.Now().Add(discoverySilent))
+		if len(lines.Bytes()) == 0 {
+			continue
+		}
+		l, err := DecodeListing(lines.Bytes(), d.names)
+		if err != nil { // what it told would be missing: ask again after the last that was read
+			return fmt.Errorf("bad line: %w", err)
+		}
+		l.Watch = number
+		d.node.Queue(l)
+	}
+	if lines.Err() != nil {
+		return lines.Err()
+	}
+	return errors.New("it ended")
+}
--- /dev/null
+++ b/internal/platform/platform.go
@@ -0,0 +1,91 @@
+// Package platform speaks the users' protocol for a node: HTTP/1.1 with clients and with workers' callbacks
+// on one listener, with workers and with discovery, and datagrams with siblings. It decodes each message
+// once into a value for the node's queue and encodes each one once. It must never decide anything, retry
+// anything or change the node's state.
+//
+// This file puts the parts together; each of the others owns one neighbour.
+package platform
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"weldmast/internal/node"
+	"weldmast/internal/settings"
+)
+
+// Options is what the parts need to know.
+type Options struct {
+	Listen     netip.AddrPort
+	Discovery  netip.AddrPort
+	PeerListen netip.AddrPort
+	Peers      []netip.AddrPort
+	PeersAll   netip.AddrPort
+	Number     int // this dispatcher's among the peers
+	Names      settings.Names
+	Links      settings.Links
+	Expiries   []float64 // of each category
+	Sockets    int
+}
+
+// Platform is the front of one node.
+type Platform struct {
+	clients   *clients
+	workers   *workers
+	discovery *discovery
+	siblings  *siblings
+	stop      context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// Parts of the limit on sockets; what is left is for discovery, siblings, files and the runtime's own.
+const (
+	clientPart = 0.5
+	workerPart = 0.35
+)
+
+// Start listens and begins to serve. The node's queue takes what comes in; it need not run yet.
+func Start(o Options, n *node.Node) (*Platform, error) {
+	ctx, stop := context.WithCancel(context.Background())
+	p := &Platform{stop: stop}
+	p.workers = newWorkers(n, o.Links, int(workerPart*float64(o.Sockets)))
+	p.discovery = &discovery{ctx: ctx, node: n, addr: o.Discovery.String(), names: o.Names, running: &p.running}
+	var err error
+	if p.siblings, err = listenSiblings(o, n); err == nil {
+		p.clients, err = listenClients(o, n, int(clientPart*float64(o.Sockets)))
+	}
+	if err != nil {
+		stop()
+		p.siblings.close()
+		return nil, fmt.Errorf("start: %w", err)
+	}
+	p.running.Go(func() { p.workers.tidy(ctx) })
+	p.running.Go(func() { p.siblings.send(ctx) })
+	p.running.Go(p.siblings.receive)
+	p.running.Go(p.clients.serve)
+	return p, nil
+}
+
+// Send starts a hand-off.
+func (p *Platform) Send(s node.Sending) node.Attempt { return p.workers.send(s) }
+
+// Watch opens a watch on discovery.
+func (p *Platform) Watch(number int, after int64) { p.discovery.watch(number, after) }
+
+// Tell sends a message to siblings.
+func (p *Platform) Tell(to int, data []byte) { p.siblings.tell(to, data) }
+
+// Drain sends clients elsewhere.
+func (p *Platform) Drain() { p.clients.drain() }
+
+// Close lets answers under way leave, for a short time, and ends everything.
+func (p *Platform) Close() {
+	p.clients.close(time.Second)
+	p.workers.close(time.Second)
+	p.stop()
+	p.siblings.close()
+	p.running.Wait()
+}
--- /dev/null
+++ b/internal/platform/workers.go
@@ -0,0 +1,367 @@
+package platform
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"log"
+	"net"
+	"net/url"
+	"slices"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+
+	"weldmast/internal/dispatch"
+	"weldmast/internal/node"
+	"weldmast/internal/settings"
+)
+
+// This file owns the connections to workers: hand-offs, and their giving up. It must never send anything a
+// second time. fasthttp's client may, and hides whether the last byte was written, which tells work that never
+// ran from work that may have; so connections are kept in pools of its own, and only fasthttp's codecs serve.
+
+const (
+	answerMost = 64 << 10
+	dropWithin = time.Second // a worker's answer to a giving up is read for so long
+	keepMost   = 16          // idle connections kept to one worker
+)
+
+// message is a client's request as it goes on to any worker, encoded once: all but the lines that differ.
+type message struct {
+	head []byte
+	body []byte
+}
+
+// hop are the headers of the client's connection, or those that each hand-off sets.
+var hop = []string{"Host", "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer",
+	"Upgrade", "Expect", "X-Deadline"}
+
+// newMessage copies a request: method, path, query, body and id byte for byte.
+func newMessage(r *fasthttp.Request) *message {
+	var h fasthttp.RequestHeader
+	r.Header.CopyTo(&h)
+	for _, name := range hop {
+		h.Del(name)
+	}
+	body := r.Body()
+	h.SetProtocol("HTTP/1.1")
+	h.SetNoDefaultContentType(true)
+	h.SetContentLength(len(body))
+	head := h.AppendBytes(nil)
+	return &message{head: head[:len(head)-2], body: slices.Clone(body)}
+}
+
+// encode is the whole text for one worker.
+func (m *message) encode(addr string, patience float64) []byte {
+	b := make([]byte, 0, len(m.head)+len(m.body)+len(addr)+64)
+	b = append(b, m.head...)
+	b = append(b, "Host: "...)
+	b = append(b, addr...)
+	b = append(b, "\r\nX-Deadline: "...)
+	b = strconv.AppendFloat(b, patience/1000, 'f', 6, 64)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, m.body...)
+}
+
+// workerConn is a connection that carries one request at a time.
+type workerConn struct {
+	net.Conn
+	addr  string
+	in    *bufio.Reader
+	since time.Time // when it became idle
+}
+
+type workers struct {
+	node    *node.Node
+	dialer  net.Dialer
+	idleFor time.Duration
+	most    int
+	mu      sync.Mutex
+	open    int
+	idle    map[string][]*workerConn // longest idle first
+	running sync.WaitGroup
+}
+
+func newWorkers(n *node.Node, l settings.Links, most int) *workers {
+	ms := float64(time.Millisecond)
+	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
+		idleFor: time.Duration(l.Idle / 2 * ms), most: most, idle: map[string][]*workerConn{}}
+}
+
+var errTooMany = errors.New("too many connections to workers")
+
+// get takes an idle connection that is fit for use, or opens one.
+func (w *workers) get(ctx context.Context, addr string) (*workerConn, error) {
+	for {
+		w.mu.Lock()
+		list := w.idle[addr]
+		if len(list) == 0 {
+			break
+		}
+		c := list[len(list)-1]
+		w.idle[addr] = list[:len(list)-1]
+		w.mu.Unlock()
+		if time.Since(c.since) < w.idleFor && c.quiet() {
+			return c, nil
+		}
+		w.drop(c)
+	}
+	if w.open >= w.most && !w.dropIdle() {
+		w.mu.Unlock()
+		return nil, errTooMany
+	}
+	w.open++
+	w.mu.Unlock()
+	conn, err := w.dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		w.mu.Lock()
+		w.open--
+		w.mu.Unlock()
+		return nil, err
+	}
+	return &workerConn{Conn: conn, addr: addr, in: bufio.NewReader(conn)}, nil
+}
+
+// quiet tells that nothing came on an idle connection: neither its end nor bytes nobody asked for.
+func (c *workerConn) quiet() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil || c.in.Buffered() > 0 {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		quiet = err == syscall.EAGAIN
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (w *workers) put(c *workerConn) {
+	c.SetDeadline(time.Time{})
+	c.since = time.Now()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.idle[c.addr]) >= keepMost {
+		w.open--
+		c.Close()
+		return
+	}
+	w.idle[c.addr] = append(w.idle[c.addr], c)
+}
+
+func (w *workers) drop(c *workerConn) {
+	c.Close()
+	w.mu.Lock()
+	w.open--
+	w.mu.Unlock()
+}
+
+// dropIdle makes room by the longest idle connection of all. The lock is held.
+func (w *workers) dropIdle() bool {
+	var oldest *workerConn
+	for _, list := range w.idle {
+		if len(list) > 0 && (oldest == nil || list[0].since.Before(oldest.since)) {
+			oldest = list[0]
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	w.idle[oldest.addr] = w.idle[oldest.addr][1:]
+	w.open--
+	oldest.Close()
+	return true
+}
+
+// tidy closes connections long before the worker would: a request that crosses that is lost.
+func (w *workers) tidy(ctx context.Context) {
+	tick := time.NewTicker(max(w.idleFor/8, 10*time.Millisecond))
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		w.mu.Lock()
+		for addr, list := range w.idle {
+			for len(list) > 0 && time.Since(list[0].since) >= w.idleFor {
+				list[0].Close()
+				w.open--
+				list = list[1:]
+			}
+			if w.idle[addr] = list; len(list) == 0 {
+				delete(w.idle, addr)
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+// close waits for what is under way and closes what is idle.
+func (w *workers) close(within time.Duration) {
+	done := make(chan struct{})
+	go func() { w.running.Wait(); close(done) }()
+	select {
+	case <-done:
+	case <-time.After(within):
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for w.dropIdle() {
+	}
+}
+
+// attempt is one hand-off under way.
+type attempt struct {
+	w       *workers
+	s       node.Sending
+	cancel  context.CancelFunc
+	mu      sync.Mutex
+	conn    *workerConn // from the writing to the answer
+	written bool
+	taken   bool
+	over    bool // its Ended was queued
+	given   bool // given up
+}
+
+func (w *workers) send(s node.Sending) node.Attempt {
+	ctx, cancel := context.WithCancel(context.Background())
+	a := &attempt{w: w, s: s, cancel: cancel}
+	w.running.Go(func() { a.run(ctx) })
+	return a
+}
+
+func (a *attempt) run(ctx context.Context) {
+	defer a.cancel()
+	conn, err := a.w.get(ctx, a.s.Addr)
+	if err != nil {
+		a.end(dispatch.ConnectFailed, err)
+		return
+	}
+	a.mu.Lock()
+	if a.given {
+		a.mu.Unlock()
+		a.w.put(conn)
+		a.end(dispatch.Cancelled, nil)
+		return
+	}
+	a.conn = conn
+	a.mu.Unlock()
+	// The node times it; the deadline is for the case that it never asks.
+	conn.SetDeadline(time.Now().Add(time.Duration(a.s.Patience*1e6) + dropWithin))
+	text := a.s.Message.(*message).encode(a.s.Addr, a.s.Patience)
+	if n, err := conn.Write(text); n < len(text) {
+		a.release(conn, false)
+		a.end(dispatch.ConnectFailed, err)
+		return
+	}
+	a.mu.Lock()
+	a.written = true
+	a.mu.Unlock()
+	var r fasthttp.Response
+	err = r.ReadLimitBody(conn.in, answerMost)
+	a.release(conn, err == nil && !r.ConnectionClose())
+	status := r.StatusCode()
+	switch {
+	case err != nil:
+		a.end(dispatch.Reset, err)
+	case status == fasthttp.StatusAccepted:
+		a.accepted()
+	case (status == fasthttp.StatusServiceUnavailable || status == fasthttp.StatusGatewayTimeout) &&
+		string(r.Header.Peek("X-Not-Run")) == "1":
+		a.end(dispatch.Full, nil)
+	default:
+		log.Printf("worker=%s status=%d id=%q", a.s.Addr, status, a.s.ID)
+		a.end(dispatch.Failed, nil)
+	}
+}
+
+// release ends the use of the connection; one that a giving up has closed is not kept.
+func (a *attempt) release(c *workerConn, keep bool) {
+	a.mu.Lock()
+	a.conn = nil
+	keep = keep && !a.given
+	a.mu.Unlock()
+	if keep {
+		a.w.put(c)
+	} else {
+		a.w.drop(c)
+	}
+}
+
+func (a *attempt) accepted() {
+	a.mu.Lock()
+	a.taken = true
+	given := a.given
+	a.mu.Unlock()
+	if given {
+		a.forget()
+	}
+}
+
+// end reports how it ended. What was given up ends as cancelled; if the worker may hold it, not before the
+// worker has been told: closing the connection may have crossed its 202.
+func (a *attempt) end(o dispatch.Outcome, err error) {
+	a.mu.Lock()
+	given, written := a.given, a.written
+	a.over = !given
+	a.mu.Unlock()
+	switch {
+	case given && written:
+		a.forget()
+		return
+	case given:
+		o = dispatch.Cancelled
+	case err != nil:
+		log.Printf("worker=%s outcome=%d id=%q err=%q", a.s.Addr, o, a.s.ID, err)
+	}
+	a.w.node.Queue(node.Ended{WI: a.s.WI, HO: a.s.HO, Outcome: o})
+}
+
+// GiveUp closes the connection before the 202, and tells the worker after it.
+func (a *attempt) GiveUp() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.given || a.over {
+		return
+	}
+	a.given = true
+	if a.taken {
+		a.w.running.Go(a.forget)
+		return
+	}
+	a.cancel()
+	if a.conn != nil {
+		a.conn.Close()
+	}
+}
+
+// forget has the worker drop the job. It counts as given up once that is written, or cannot be.
+func (a *attempt) forget() {
+	queue := func() { a.w.node.Queue(node.Ended{WI: a.s.WI, HO: a.s.HO, Outcome: dispatch.Cancelled}) }
+	conn, err := a.w.get(context.Background(), a.s.Addr)
+	if err != nil {
+		queue()
+		return
+	}
+	conn.SetDeadline(time.Now().Add(dropWithin))
+	_, err = conn.Write([]byte("DELETE /jobs/" + url.PathEscape(a.s.ID) + " HTTP/1.1\r\nHost: " + a.s.Addr +
+		"\r\nContent-Length: 0\r\n\r\n"))
+	queue()
+	var r fasthttp.Response
+	if err == nil {
+		err = r.ReadLimitBody(conn.in, answerMost)
+	}
+	if err != nil || r.ConnectionClose() {
+		a.w.drop(conn)
+		return
+	}
+	a.w.put(conn)
+}
--- a/internal/simwire/fields.go
+++ b/internal/simwire/fields.go
@@ -6,9 +6,9 @@
 	"fmt"
 	"math"
 	"strconv"
-	"strings"
 
 	"weldmast/internal/dispatch"
+	"weldmast/internal/settings"
 )
 
 // fields is one line, split in place. The first thing wrong with it stays in err.
@@ -141,10 +141,7 @@
 }
 
 // names are the settings' lists, in which lines name their things.
-type names struct {
-	categories, tenants, zones, kinds []string
-	free                              string // load value that tells free slots
-}
+type names struct{ settings.Names }
 
 func find(list []string, name []byte) int {
 	for k, s := range list {
@@ -157,7 +154,7 @@
 
 func (n *names) category(f *fields) int {
 	v := f.text("lane")
-	k := find(n.categories, v)
+	k := find(n.Categories, v)
 	if k < 0 && len(v) > 0 {
 		f.fail("lane", "is not a known category")
 	}
@@ -174,7 +171,7 @@
 		switch {
 		case !ok:
 			f.fail("stats", "is not a list of pairs")
-		case n.free != "" && string(name) == n.free:
+		case n.Free != "" && string(name) == n.Free:
 			l.Free = f.num("stats", value)
 		}
 	}
@@ -203,104 +200,3 @@
 	f.fail("status", "is unknown")
 	return dispatch.Failed
 }
-
-// pairs are the settings of one configure line.
-type pairs struct {
-	m map[string]string
-	f *fields
-}
-
-func (p pairs) num(key string, absent float64) float64 {
-	v, ok := p.m[key]
-	if !ok {
-		return absent
-	}
-	return p.f.num(key, []byte(v))
-}
-
-func (p pairs) ms(key string) float64 { return p.num(key, 0) / 1000 }
-func (p pairs) yes(key string) bool   { return p.m[key] == "true" || p.m[key] == "1" }
-func (p pairs) list(key string) []string {
-	if p.m[key] == "" {
-		return nil
-	}
-	return strings.Split(p.m[key], ",")
-}
-
-// must names a setting without which no dispatcher can keep the rules.
-func (p pairs) must(keys ...string) {
-	for _, k := range keys {
-		if p.m[k] == "" {
-			p.f.fail(k, "is missing")
-		}
-	}
-}
-
-func (n *instance) configure(f *fields) (dispatch.Settings, error) {
-	p := pairs{make(map[string]string, len(f.parts)), f}
-	for _, part := range f.parts {
-		k, v, ok := strings.Cut(string(part), "=")
-		if !ok {
-			f.fail(k, "has no value")
-		}
-		p.m[k] = v
-	}
-	p.must("categories.count", "siblings", "granularity", "allowed.max_hand_offs",
-		"safety.start_capacity", "safety.cold", "safety.fall", "safety.fall_multiple")
-	s := dispatch.Settings{Seed: f.id("nonce64"), Grain: p.ms("granularity"),
-		Siblings: int(p.num("siblings", 1)), Number: int(p.num("position", 0)),
-		NearFirst: p.num("prices.cross_zone", 0) > 0, ExcessCredit: p.num("excess_credit", 1), TellsStart: p.yes("family_info.tells_start"),
-		Progress: p.ms("family_info.progress"), MustAsk: p.m["discovery"] == "ask",
-		MayCancel: p.yes("allowed.may_cancel"), MayTell: p.yes("allowed.peers"), MayPause: p.yes("allowed.retry_after"),
-		SecondCopies: p.yes("allowed.second_copies"), MaxPause: p.ms("allowed.max_retry_after"),
-		MaxHandOffs: int(p.num("allowed.max_hand_offs", 1)), AnswerSlack: p.ms("safety.answer_slack"),
-		AskWithin: p.ms("safety.ask_within"), StartShare: p.num("safety.start_capacity", 0),
-		Cold: p.ms("safety.cold"), FallMultiple: p.num("safety.fall_multiple", 1),
-		Fall: p.ms("safety.fall")}
-	n.names.zones, n.names.kinds = p.list("localities"), p.list("machine_types")
-	s.Zone, s.Kinds = find(n.names.zones, []byte(p.m["locality"])), len(n.names.kinds)
-	for _, x := range []string{"x0", "x1"} {
-		if p.m["family_info.report_"+x] == "free_slots" {
-			n.names.free = x
-		}
-	}
-	stretch, only := p.list("family_info.class_stretch"), p.list("family_info.class_kind")
-	for k := range int(p.num("categories.count", 0)) {
-		at := "categories." + strconv.Itoa(k) + "."
-		p.must(at+"name", at+"semantics", at+"expiry", at+"due_time")
-		c := dispatch.Category{Window: p.ms(at + "window"), Due: p.ms(at + "due_time"),
-			Stretch: p.num(at+"aim_stretch", 0), Expiry: p.ms(at + "expiry"),
-			Credit: p.num(at+"credit", 1), Kind: -1}
-		switch p.m[at+"semantics"] {
-		case "repeatable":
-		case "by_key":
-			c.Repeat = dispatch.Ticketed
-		case "once":
-			c.Repeat = dispatch.Exclusive
-		default:
-			f.fail(at+"semantics", "is unknown")
-		}
-		switch p.m[at+"group"] {
-		case "zone":
-			c.Group = dispatch.GroupZone
-		case "cell":
-			c.Group = dispatch.GroupCell
-		}
-		if k < len(stretch) {
-			c.Stretch = f.num("family_info.class_stretch", []byte(stretch[k]))
-		}
-		if k < len(only) && only[k] != "-1" {
-			if c.Kind = find(n.names.kinds, []byte(only[k])); c.Kind < 0 {
-				c.Kind = int(f.num("family_info.class_kind", []byte(only[k])))
-			}
-		}
-		n.names.categories = append(n.names.categories, p.m[at+"name"])
-		s.Categories = append(s.Categories, c)
-	}
-	for k := range int(p.num("realms.count", 0)) {
-		at := "realms." + strconv.Itoa(k) + "."
-		n.names.tenants = append(n.names.tenants, p.m[at+"name"])
-		s.Tenants = append(s.Tenants, dispatch.Tenant{PerSec: p.num(at+"allowance_per_s", 0)})
-	}
-	return s, f.err
-}
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -9,6 +9,7 @@
 	"io"
 
 	"weldmast/internal/dispatch"
+	"weldmast/internal/settings"
 )
 
 // event is one line kept for the round; list is set for discovery only.
@@ -194,6 +195,24 @@
 	return nil
 }
 
+// configure reads the pairs that follow the line's own fields.
+func (n *instance) configure(f *fields) (dispatch.Settings, error) {
+	seed := f.id("nonce64")
+	if f.err != nil {
+		return dispatch.Settings{}, f.err
+	}
+	values, err := settings.Flat(f.parts)
+	if err != nil {
+		return dispatch.Settings{}, fmt.Errorf("%s: %w", f.head, err)
+	}
+	s, names, _, err := settings.Read(values, seed)
+	if err != nil {
+		return s, fmt.Errorf("%s: %w", f.head, err)
+	}
+	n.names.Names = names
+	return s, nil
+}
+
 func (n *instance) wake() {
 	if !n.queued {
 		n.queued = true
@@ -283,7 +302,7 @@
 	switch f.name() {
 	case "req":
 		wi := dispatch.WorkItem{ID: f.id("job"), Category: n.names.category(f),
-			Tenant: find(n.names.tenants, f.opt("realm")), Left: f.time("time_left"),
+			Tenant: find(n.names.Tenants, f.opt("realm")), Left: f.time("time_left"),
 			Hint: f.timeOr("predicted", 0)}
 		if f.err == nil {
 			d.Arrived(wi)
@@ -352,7 +371,7 @@
 	entries := n.host.entries[:0]
 	for _, r := range list {
 		e := r.entry
-		e.Zone, e.Kind = find(n.names.zones, []byte(r.zone)), find(n.names.kinds, []byte(r.kind))
+		e.Zone, e.Kind = find(n.names.Zones, []byte(r.zone)), find(n.names.Kinds, []byte(r.kind))
 		entries = append(entries, e)
 	}
 	n.host.entries = entries
