--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,7 +210,7 @@
 	next     uint64
 	dues     dues
 	mwc      uint64
-	watch    int // number of the present watch
+	watch    int     // number of the present watch
 	asked    bool    // the dispatcher asked for it and has no answer yet
 	watchAt  float64 // discovery is asked again then; infinite: not now
 	revision int64
