An odd deadline no longer turns all others into retries; idle clients give way at the limit

One client with X-Deadline 1e6 made every later request of its category look like a late retry (the dispatcher takes the longest time left as that of a first try): a good one then got 503. The deadline now counts as the category's expiry at most (clients.go, decode). 200 idle connections made fasthttp answer 503 before it read a request, and its closing could have taken the answer with it, which loses the request: now the listener waits and idle connections give way (makeRoom), and half the descriptors bound the work items that wait (config.go). A new connection on which nothing came was answered 408 by fasthttp; it is closed without a word (Read). Ruled out: the dispatcher's estimate itself, which is right for what the protocol allows.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -571,6 +571,7 @@
 		{"unknown tenant", request("a", "/plan/x", "X-Tenant: other\r\n")},
 		{"deadline no number", request("a", "/plan/x", "X-Deadline: soon\r\n")},
 		{"deadline below zero", request("a", "/plan/x", "X-Deadline: -1\r\n")},
+		{"deadline too far", request("far", "/plan/x", "X-Deadline: 1e6\r\n")},
 		{"hint no number", request("a", "/plan/x", "X-Cost-Hint: NaN\r\n")},
 		{"too large", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 65537\r\n\r\n"},
 		{"header too large", request("a", "/plan/x", "X-Extras: "+strings.Repeat("a", 20000)+"\r\n")},
@@ -592,6 +593,8 @@
 unknown tenant: 400
 deadline no number: 400
 deadline below zero: 400
+w1: far
+deadline too far: 200 from w1
 hint no number: 400
 too large: 413
 header too large: 431
@@ -720,6 +723,8 @@
 	for range 200 {
 		w.dial()
 	}
+	w.note("among 200: %s", w.dial().ask(request("4", "/order/x", "")))
+	w.check("new\nclient: 200\nclient: 200\nclient: 200\nclosed\nnew\nclient: 200\namong 200: 200")
 	fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
 	w.must(err)
 	if len(fds) > w.sockets {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -135,6 +135,7 @@
 	if c.Settings, c.Names, c.Links, err = settings.Read(values, seed); err != nil {
 		return c, fmt.Errorf("settings.%w", err)
 	}
+	c.Links.MaxOpen = min(c.Links.MaxOpen, c.Sockets/2) // a client that waits holds one
 	if s := &c.Settings; len(c.Peers) == 0 || !c.PeerListen.IsValid() {
 		s.MayTell = false // no way to tell anybody
 	} else if len(c.Peers) != s.Siblings {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"math"
 	"net"
@@ -40,6 +41,7 @@
 	names    settings.Names
 	expiries []float64
 	listener net.Listener
+	most     int
 	server   *fasthttp.Server
 	draining atomic.Bool
 	mu       sync.Mutex
@@ -51,8 +53,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clients{node: n, names: o.Names, expiries: o.Expiries, listener: l, conns: map[*clientConn]bool{}}
-	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread, Concurrency: most,
+	c := &clients{node: n, names: o.Names, expiries: o.Expiries, listener: l, most: most, conns: map[*clientConn]bool{}}
+	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread, Concurrency: most + 1,
 		ReadTimeout: readWithin, WriteTimeout: readWithin, IdleTimeout: clientIdle,
 		MaxRequestBodySize: bodyMost, ReadBufferSize: headMost, DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: serverLog{},
@@ -225,6 +227,7 @@
 	if tenant < 0 && len(c.names.Tenants) > 0 && len(r.Header.Peek("X-Tenant")) > 0 {
 		return bad("X-Tenant is not known")
 	}
+	// A deadline beyond the category's says nothing more: nobody waits longer.
 	left, err := number(r, "X-Deadline", c.expiries[category]/1000)
 	if err != nil {
 		return nil, fasthttp.StatusBadRequest, err
@@ -234,7 +237,7 @@
 		return nil, fasthttp.StatusBadRequest, err
 	}
 	return &node.Client{ID: id, Category: category, Tenant: tenant, Hint: hint / 1000,
-		Expiry: c.node.Now() + left*1000, Message: newMessage(r), Reply: make(chan node.Reply, 1)}, 0, nil
+		Expiry: c.node.Now() + min(left*1000, c.expiries[category]), Message: newMessage(r), Reply: make(chan node.Reply, 1)}, 0, nil
 }
 
 // number reads a header that must not be below zero.
@@ -270,8 +273,25 @@
 	}
 }
 
+// makeRoom waits until another connection is within the limit. Idle ones give way: first those that have
+// had a request, then those that have not. fasthttp would answer 503 before it has read the request, and the
+// closing could take that answer with it.
+func (c *clients) makeRoom() {
+	for fresh := false; ; fresh = true {
+		conns := c.all()
+		if len(conns) < c.most || c.node.Phase() == node.Stopped {
+			return
+		}
+		for _, conn := range conns {
+			conn.closeIdle(fresh)
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
 // Accept makes the clients the listener that fasthttp serves.
 func (c *clients) Accept() (net.Conn, error) {
+	c.makeRoom()
 	conn, err := c.listener.Accept()
 	if err != nil {
 		return nil, err
@@ -318,6 +338,9 @@
 	if c.closing {
 		return 0, net.ErrClosed
 	}
+	if !c.busy && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, io.EOF // nothing came: closed without a word, where fasthttp would answer 408 to a new one
+	}
 	c.busy = c.busy || n > 0
 	return n, err
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -41,10 +41,11 @@
 	running   sync.WaitGroup
 }
 
-// Parts of the limit on sockets; what is left is for discovery, siblings, files and the runtime's own.
+// Parts of the limit on sockets; what is left is for discovery, siblings, files and the runtime's own. Half may
+// wait for their work items' answers; the rest of the clients' part is for callbacks and idle connections.
 const (
-	clientPart = 0.5
-	workerPart = 0.35
+	clientPart = 0.6
+	workerPart = 0.3
 )
 
 // Start listens and begins to serve. The node's queue takes what comes in; it need not run yet.
