Where second copies are forbidden, a moved work item waits until its DELETE is answered

Seen in a test with settings that forbid second copies: the next hand-off went out 60 ms after the first, while the worker's answer to the DELETE was still on its way (workers.go, forget): a DELETE to a far worker could be overtaken by a hand-off to a near one, a second copy by the protocol. Where copies are allowed nothing changes.

--- a/cmd/weldmast/main.go
+++ b/cmd/weldmast/main.go
@@ -37,7 +37,8 @@
 		}
 	}
 	o := platform.Options{Listen: c.Listen, Discovery: c.Discovery, PeerListen: c.PeerListen, Peers: c.Peers,
-		PeersAll: c.PeersAll, Number: c.Settings.Number, Names: c.Names, Links: c.Links, Sockets: c.Sockets}
+		PeersAll: c.PeersAll, Number: c.Settings.Number, Names: c.Names, Links: c.Links,
+		Copies: c.Settings.SecondCopies, Sockets: c.Sockets}
 	for _, category := range c.Settings.Categories {
 		o.Expiries = append(o.Expiries, category.Expiry)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -28,6 +28,7 @@
 	Names      settings.Names
 	Links      settings.Links
 	Expiries   []float64 // of each category
+	Copies     bool      // second copies are allowed
 	Sockets    int
 }
 
@@ -52,7 +53,7 @@
 func Start(o Options, n *node.Node) (*Platform, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Platform{stop: stop}
-	p.workers = newWorkers(n, o.Links, int(workerPart*float64(o.Sockets)))
+	p.workers = newWorkers(n, o.Links, o.Copies, int(workerPart*float64(o.Sockets)))
 	p.discovery = &discovery{ctx: ctx, node: n, addr: o.Discovery.String(), names: o.Names, running: &p.running}
 	var err error
 	if p.siblings, err = listenSiblings(o, n); err == nil {
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -80,16 +80,17 @@
 	dialer  net.Dialer
 	idleFor time.Duration
 	most    int
+	copies  bool // second copies are allowed
 	mu      sync.Mutex
 	open    int
 	idle    map[string][]*workerConn // longest idle first
 	running sync.WaitGroup
 }
 
-func newWorkers(n *node.Node, l settings.Links, most int) *workers {
+func newWorkers(n *node.Node, l settings.Links, copies bool, most int) *workers {
 	ms := float64(time.Millisecond)
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
-		idleFor: time.Duration(l.Idle / 2 * ms), most: most, idle: map[string][]*workerConn{}}
+		idleFor: time.Duration(l.Idle / 2 * ms), most: most, copies: copies, idle: map[string][]*workerConn{}}
 }
 
 var errTooMany = errors.New("too many connections to workers")
@@ -344,7 +345,8 @@
 	}
 }
 
-// forget has the worker drop the job. It counts as given up once that is written, or cannot be.
+// forget has the worker drop the job. It counts as given up once that is written, or cannot be; where second
+// copies are forbidden, once it is answered: else the next hand-off could overtake it.
 func (a *attempt) forget() {
 	queue := func() { a.w.node.Queue(node.Ended{WI: a.s.WI, HO: a.s.HO, Outcome: dispatch.Cancelled}) }
 	conn, err := a.w.get(context.Background(), a.s.Addr)
@@ -355,11 +357,16 @@
 	conn.SetDeadline(time.Now().Add(dropWithin))
 	_, err = conn.Write([]byte("DELETE /jobs/" + url.PathEscape(a.s.ID) + " HTTP/1.1\r\nHost: " + a.s.Addr +
 		"\r\nContent-Length: 0\r\n\r\n"))
-	queue()
+	if a.w.copies {
+		queue()
+	}
 	var r fasthttp.Response
 	if err == nil {
 		err = r.ReadLimitBody(conn.in, answerMost)
 	}
+	if !a.w.copies {
+		queue()
+	}
 	if err != nil || r.ConnectionClose() {
 		a.w.drop(conn)
 		return
