Told to stop, all is answered before the kill; discovery tested asked and unasked

What would last so long now gets 504 three tenths of a second before (node.go, timers) and is called off; the dispatcher sees that before the node stops (settled). The answer is the same for every category: it may have run.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -647,29 +647,32 @@
 }
 
 // TestDiscovery: drains are kept, a watch that breaks is opened again after what was read, and a complete
-// list drops what it lacks.
+// list drops what it lacks; the same where discovery tells nothing unasked.
 func TestDiscovery(t *testing.T) {
-	w := newWorld(t)
-	one, two := w.finishing("w1"), w.finishing("w2")
-	w.tell(list(7, true, line("w1", one, "in_service")))
-	w.start()
-	c := w.dial()
-	w.note("client: %s", c.ask(request("a", "/plan/x", "")))
-	w.tell(list(8, false, line("w1", one, "terminating"), line("w2", two, "in_service")))
-	w.tell("break")
-	w.await("watch after 8", 1)
-	for k := range 5 {
-		w.note("client: %s", c.ask(request(fmt.Sprintf("drained-%d", k), "/plan/x", "")))
-	}
-	w.tell(list(9, true, line("w1", one, "in_service")))
-	w.tell("break")
-	w.await("watch after 9", 1)
-	w.note("client: %s", c.ask(request("b", "/plan/x", "")))
-	want := "w1: a\nclient: 200 from w1\nwatch after 8\n"
-	for k := range 5 {
-		want += fmt.Sprintf("w2: drained-%d\nclient: 200 from w2\n", k)
+	for _, mode := range []string{"push", "ask"} {
+		w := newWorld(t)
+		w.swap = [2]string{`"discovery":"push"`, fmt.Sprintf(`"discovery":%q`, mode)}
+		one, two := w.finishing("w1"), w.finishing("w2")
+		w.tell(list(7, true, line("w1", one, "in_service")))
+		w.start()
+		c := w.dial()
+		w.note("client: %s", c.ask(request("a", "/plan/x", "")))
+		w.tell(list(8, false, line("w1", one, "terminating"), line("w2", two, "in_service")))
+		w.tell("break")
+		w.await("watch after 8", 1)
+		for k := range 5 {
+			w.note("client: %s", c.ask(request(fmt.Sprintf("drained-%d", k), "/plan/x", "")))
+		}
+		w.tell(list(9, true, line("w1", one, "in_service")))
+		w.tell("break")
+		w.await("watch after 9", 1)
+		w.note("client: %s", c.ask(request("b", "/plan/x", "")))
+		want := "w1: a\nclient: 200 from w1\nwatch after 8\n"
+		for k := range 5 {
+			want += fmt.Sprintf("w2: drained-%d\nclient: 200 from w2\n", k)
+		}
+		w.check(want + "watch after 9\nw1: b\nclient: 200 from w1")
 	}
-	w.check(want + "watch after 9\nw1: b\nclient: 200 from w1")
 }
 
 // TestStop: told to stop, it answers what it has taken, still takes work for a moment, and keeps nobody.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,7 +9,9 @@
 	"container/heap"
 	"fmt"
 	"log"
+	"maps"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -35,6 +37,8 @@
 const (
 	knownAfter  = 500  // an old list must do when discovery has said nothing for so long
 	acceptAfter = 500  // told to stop, it takes work for so long: clients may not know yet
+	killAfter   = 3700 // told to stop, it is killed no sooner than this, or 700 after the longest deadline
+	killSlack   = 300  // all is answered so long before that
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
 	queueSize   = 4096 // values that wait for the reducer
 )
@@ -190,33 +194,35 @@
 
 // Node is one dispatcher at work. Only Queue, Phase, Now and Run are for other goroutines.
 type Node struct {
-	s        dispatch.Settings
-	maxOpen  int
-	front    Front
-	d        *dispatch.Dispatcher
-	queue    chan any
-	stopped  chan struct{}
-	phase    atomic.Int32
-	base     time.Time
-	baseMS   float64
-	now      float64
-	lastAt   float64 // time of the last round
-	wake     bool    // a timer of the Dispatcher's is due
-	inbox    []any
-	items    map[uint64]*item
-	byID     map[string]*item
-	addrs    map[string]string
-	open     int // work items whose client waits
-	next     uint64
-	dues     dues
-	mwc      uint64
-	watch    int     // number of the present watch
-	asked    bool    // the dispatcher asked for it and has no answer yet
-	watchAt  float64 // discovery is asked again then; infinite: not now
-	revision int64
-	listed   bool // discovery itself has spoken
-	startAt  float64
-	drainAt  float64
+	s          dispatch.Settings
+	maxOpen    int
+	front      Front
+	d          *dispatch.Dispatcher
+	queue      chan any
+	stopped    chan struct{}
+	phase      atomic.Int32
+	base       time.Time
+	baseMS     float64
+	now        float64
+	lastAt     float64 // time of the last round
+	wake       bool    // a timer of the Dispatcher's is due
+	inbox      []any
+	items      map[uint64]*item
+	byID       map[string]*item
+	addrs      map[string]string
+	answeredAt float64 // the last answer to a client
+	open       int     // work items whose client waits
+	next       uint64
+	dues       dues
+	mwc        uint64
+	watch      int     // number of the present watch
+	asked      bool    // the dispatcher asked for it and has no answer yet
+	watchAt    float64 // discovery is asked again then; infinite: not now
+	revision   int64
+	listed     bool // discovery itself has spoken
+	startAt    float64
+	drainAt    float64
+	drainFor   float64 // what it has taken is answered within this time once it was told to stop
 }
 
 // New makes a node that serves once it is run; known is the list as it last was, perhaps old.
@@ -225,6 +231,11 @@
 		stopped: make(chan struct{}), base: time.Now(), items: map[uint64]*item{}, byID: map[string]*item{},
 		addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1), watchAt: math.Inf(1),
 		revision: known.Revision}
+	longest := 0.0
+	for _, c := range s.Categories {
+		longest = max(longest, c.Expiry)
+	}
+	n.drainFor = min(longest+700, killAfter) - killSlack
 	n.baseMS = float64(n.base.UnixMicro()) / 1000
 	n.take(known.Members)
 	n.inbox = append(n.inbox, listed{dispatch.Restored, known.Members})
@@ -297,8 +308,10 @@
 			at = min(at, t)
 		}
 	case Draining:
-		if n.open == 0 {
+		if n.settled() {
 			at = min(at, n.drainAt+acceptAfter)
+		} else if t := n.drainAt + n.drainFor; n.now < t {
+			at = min(at, t)
 		}
 	}
 	if len(n.inbox) > 0 || n.wake {
@@ -380,6 +393,7 @@
 	}
 	it.done = true
 	n.open--
+	n.answeredAt = n.now
 	it.client.Reply <- r
 	n.forget(it)
 }
@@ -491,10 +505,8 @@
 				n.ended(it, t.ho, dispatch.TimedOut, "")
 				h.attempt.GiveUp()
 			}
-		case !it.done:
-			log.Printf("overdue=%q", it.client.ID)
-			n.answer(it, Reply{Result: Overdue})
-			n.inbox = append(n.inbox, left(it.wi))
+		default:
+			n.overdue(it)
 		}
 	}
 	if n.now >= n.watchAt {
@@ -506,12 +518,30 @@
 			n.enter(Serving)
 		}
 	case Draining:
-		if n.open == 0 && n.now >= n.drainAt+acceptAfter {
+		if n.settled() && n.now >= n.drainAt+acceptAfter {
 			n.enter(Stopped)
+		} else if n.open > 0 && n.now >= n.drainAt+n.drainFor {
+			// Killed with it, the client would learn nothing: it may have run, which is what this answer says.
+			for _, wi := range slices.Sorted(maps.Keys(n.items)) {
+				n.overdue(n.items[wi])
+			}
 		}
 	}
 }
 
+// settled tells that all is answered, and that the dispatcher has seen it: what is still out is called off.
+func (n *Node) settled() bool { return n.open == 0 && n.lastAt >= n.answeredAt }
+
+// overdue answers a client that got no answer in time.
+func (n *Node) overdue(it *item) {
+	if it.done {
+		return
+	}
+	log.Printf("overdue=%q", it.client.ID)
+	n.answer(it, Reply{Result: Overdue})
+	n.inbox = append(n.inbox, left(it.wi))
+}
+
 // chance draws from [0, 1) by multiply-with-carry.
 func (n *Node) chance() float64 {
 	n.mwc = 4294957665*(n.mwc&math.MaxUint32) + n.mwc>>32
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -142,6 +142,13 @@
 			s.at(1600, s.client("c", 0, 2000))
 			s.at(1700, Callback{ID: "a", From: "w1", State: Done})
 			s.at(1800, Callback{ID: "b", From: "w1", State: Done})
+			s.at(1805)
+			s.note("phase %s", s.Phase())
+		}},
+		{"told to stop: what would last beyond the kill is answered before it, and called off", func(s *script) {
+			s.at(1010, Listing{Watch: 1, Revision: 5}, s.client("a", 1, 9000))
+			s.at(1020, Callback{ID: "a", From: "w1", State: Started}, Stop{})
+			s.at(3500)
 			s.note("phase %s", s.Phase())
 		}},
 	} {
