A silent watch is given up after 3 s; its first empty line is an answer; a request begun early is tested

Read out of the protocol: what discovery has to tell counts as told after 6 s whether or not it arrived, and a watch that died silently was noticed after just 6 s and asked for again up to 0.75 s later (discovery.go), beyond the grace for drains. An empty line comes every 2 s, so 3 s without one is enough.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -214,6 +214,8 @@
 		case <-r.Context().Done():
 			return
 		case <-told:
+		case <-time.After(500 * time.Millisecond):
+			fmt.Fprintln(out)
 		}
 	}
 }
@@ -468,7 +470,14 @@
 // TestCallbacks: they repeat, come before the 202, from the wrong worker or for nobody; each is answered.
 func TestCallbacks(t *testing.T) {
 	w := newWorld(t)
+	conn := make(chan *client, 1)
 	w.tell(list(1, true, line("w1", w.worker("w1", func(j job) {
+		if j.id == "ahead" {
+			accept(j)
+			w.back(j.id, "w1", "done", "and the next")
+			return
+		}
+		io.WriteString(<-conn, "P") // the next request begins before the answer to this one
 		w.note("other worker: %d", w.back(j.id, "w2", "done", "not from there"))
 		w.note("early: %d", w.back(j.id, "w1", "started", ""))
 		w.note("early: %d", w.back(j.id, "w1", "done", "once"))
@@ -481,9 +490,12 @@
 	w.note("unknown job: %d", w.back("nobody", "w1", "done", ""))
 	w.note("unknown state: %d", w.back("a", "w1", "dancing", ""))
 	w.note("no worker: %d", w.back("a", "", "done", ""))
-	answer := w.dial().ask(request("a", "/order/x", ""))
+	c := w.dial()
+	conn <- c
+	answer := c.ask(request("a", "/order/x", ""))
 	w.await("after the 202", 1)
 	w.note("client: %s", answer)
+	w.note("client: %s", c.ask(request("ahead", "/order/x", "")[1:]))
 	w.check(`unknown job: 200
 unknown state: 400
 no worker: 400
@@ -494,7 +506,9 @@
 again: 200
 other: 200
 after the 202
-client: 200 once`)
+client: 200 once
+w1: ahead
+client: 200 and the next`)
 }
 
 // TestGivenUp: a job whose client leaves or runs out of time is called off at its worker, before the 202 by
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -26,8 +26,8 @@
 
 const (
 	discoveryUp     = time.Second
-	discoveryFirst  = 2 * time.Second // it answers at once, or is down
-	discoverySilent = 6 * time.Second // three of its empty lines are missing
+	discoveryFirst  = time.Second     // it answers at once, or is down
+	discoverySilent = 3 * time.Second // an empty line is missing; what it tells counts as told after 6 s
 	listMost        = 8 << 20
 )
 
@@ -137,9 +137,12 @@
 	}
 	lines := bufio.NewScanner(r.BodyStream())
 	lines.Buffer(nil, listMost)
-	for lines.Scan() {
+	for first := true; lines.Scan(); first = false {
 		conn.SetDeadline(time.Now().Add(discoverySilent))
 		if len(lines.Bytes()) == 0 {
+			if first { // it speaks: nothing has changed since
+				d.node.Queue(node.Listing{Watch: number, Revision: after})
+			}
 			continue
 		}
 		l, err := DecodeListing(lines.Bytes(), d.names)
