Work without any hint counts as half its due time: its first ones are no longer deferred

Seen on sockets in a test: a client without hints, a first work item out, a second one whose deadline was 0.1 s shorter: 503 at once beside an idle worker. Cause: before any hint a work item counted as large as its whole due time (dispatch.go, Arrived), so it fitted only if it had the longest deadline so far. Ruled out: the node's Left, which is right; the learned speed, which needs a first answer. Now half the due time: served.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -612,6 +612,25 @@
 	w.check(want)
 }
 
+// TestNoHint: work without any hint is not deferred while nothing is known of its size.
+func TestNoHint(t *testing.T) {
+	w := newWorld(t)
+	w.tell(list(1, true, line("w1", w.worker("w1", nil), "in_service")))
+	w.start()
+	plain := func(id, deadline string) string {
+		return strings.Replace(request(id, "/plan/x", "X-Deadline: "+deadline+"\r\n"), "X-Cost-Hint: 200000\r\n", "", 1)
+	}
+	first, second := w.dial(), w.dial()
+	io.WriteString(first, plain("a", "5"))
+	w.await("w1: a", 1)
+	w.back("a", "w1", "started", "")
+	w.tell(list(2, false, line("w2", w.finishing("w2"), "in_service")))
+	w.note("client: %s", second.ask(plain("b", "4.9")))
+	w.back("a", "w1", "done", "a")
+	w.note("client: %s", first.answer())
+	w.check("w1: a\nw2: b\nclient: 200 from w2\nclient: 200 a")
+}
+
 // TestBadInput: each is answered 4xx and changes nothing: the program goes on.
 func TestBadInput(t *testing.T) {
 	w := newWorld(t)
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -205,7 +205,7 @@
 			d.resetAt = d.now
 		}
 	} else if it.Hint = d.median; it.Hint == 0 {
-		it.Hint = it.cat.Due
+		it.Hint = it.cat.Due / 2 // nothing is known of size: room is left, or any retry would seem too late
 	}
 	// A retry counts from its first try: what is gone of the time that a first try has is past.
 	d.most[wi.Category] = max(d.most[wi.Category], wi.Left)
