limits.cores is heeded; a hand-off that never left does not make later callbacks ambiguous

A hand-off that was moot or had no address counted as one whose callbacks may still come (rounds.go, HandOff), so a later one at the same worker could be given up for nothing. Each file of the new code is opened by its paragraph.

--- a/cmd/weldmast/main.go
+++ b/cmd/weldmast/main.go
@@ -7,6 +7,7 @@
 	"log"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -29,6 +30,7 @@
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
 	}
+	runtime.GOMAXPROCS(c.Cores)
 	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10) // the collector's aim; the operators' limit kills
 	var known node.Listing
 	if len(c.Known) > 0 && string(c.Known) != "null" {
--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -817,6 +817,7 @@
 	for _, c := range []struct{ name, old, new string }{
 		{"no JSON", "{", "["},
 		{"seed", "8c1f30d27a5be964", "8c1f"},
+		{"cores", `"cores":1.0`, `"cores":0`},
 		{"memory", `"memory_mb":192`, `"memory_mb":"all"`},
 		{"sockets", `"sockets":1024`, `"sockets":3`},
 		{"peers", `"siblings":2`, `"siblings":3`},
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 
@@ -27,6 +28,7 @@
 	Settings   dispatch.Settings
 	Names      settings.Names
 	Links      settings.Links
+	Cores      int // to run on at once
 	MemoryMB   int
 	Sockets    int
 }
@@ -52,8 +54,9 @@
 }
 
 type limits struct {
-	MemoryMB *int `json:"memory_mb"`
-	Sockets  *int `json:"sockets"`
+	Cores    *float64 `json:"cores"`
+	MemoryMB *int     `json:"memory_mb"`
+	Sockets  *int     `json:"sockets"`
 }
 
 // Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY go before
@@ -87,7 +90,7 @@
 }
 
 func (f *file) check() (c Config, err error) {
-	c = Config{Name: f.Name, Known: f.Known, MemoryMB: 192, Sockets: 1024}
+	c = Config{Name: f.Name, Known: f.Known, Cores: 1, MemoryMB: 192, Sockets: 1024}
 	addr := func(key, text string, must bool) (a netip.AddrPort) {
 		if text == "" && !must || err != nil {
 			return a
@@ -112,6 +115,12 @@
 	for k, p := range f.Peers {
 		c.Peers = append(c.Peers, addr(fmt.Sprintf("peers[%d]", k), p, true))
 	}
+	if cores := f.Limits.Cores; cores != nil {
+		if *cores <= 0 && err == nil {
+			err = fmt.Errorf("limits.cores: %v is not above 0", *cores)
+		}
+		c.Cores = int(math.Ceil(*cores))
+	}
 	least("limits.memory_mb", f.Limits.MemoryMB, &c.MemoryMB, leastMemory)
 	least("limits.sockets", f.Limits.Sockets, &c.Sockets, leastSockets)
 	if err != nil {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -112,6 +112,12 @@
 			s.at(1550, Callback{ID: "a", From: "w1", State: Returned})
 			s.at(1560, Ended{1, 2, dispatch.Cancelled})
 		}},
+		{"turned away on its connection, later returned by the same worker: told apart", func(s *script) {
+			s.at(1010, s.client("a", 0, 2000))
+			s.at(1020, Ended{1, 0, dispatch.Full}, member2())
+			s.at(1030, Ended{1, 1, dispatch.Full})
+			s.at(1550, Callback{ID: "a", From: "w1", State: Returned})
+		}},
 		{"out of time: given up at the worker, and deferred as it may run again", func(s *script) {
 			s.at(1010, s.client("a", 0, 200))
 			s.at(1020, Callback{ID: "a", From: "w1", State: Started})
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -1,12 +1,12 @@
+// This file is the node's side of the Dispatcher: the Inbox that a round delivers and the Writer that takes
+// its decisions. It must never change what came in, nor choose anything itself.
+
 package node
 
 import (
 	"weldmast/internal/dispatch"
 )
 
-// This file is the node's side of the Dispatcher: the Inbox that a round delivers and the Writer that takes
-// its decisions. It must never change what came in, nor choose anything itself.
-
 // What waits for the next round besides *item (an arrival), dispatch.Answer and Heard.
 type (
 	left    uint64
@@ -66,7 +66,7 @@
 	if patience <= 0 || patience > rest {
 		patience = rest
 	}
-	it.hos = append(it.hos, handoff{worker: worker, sent: n.now})
+	it.hos = append(it.hos, handoff{worker: worker, sent: n.now, never: true})
 	it.out++
 	addr, known := n.addrs[worker]
 	switch {
@@ -75,6 +75,7 @@
 	case !known: // it left the list
 		n.ended(it, ho, dispatch.ConnectFailed, "")
 	default:
+		it.hos[ho].never = false
 		it.hos[ho].attempt = n.front.Send(Sending{WI: wi, HO: ho, ID: it.client.ID, Addr: addr,
 			Message: it.client.Message, Patience: patience})
 		n.at(n.now+patience, wi, ho)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -1,3 +1,6 @@
+// This file owns the listener: requests of clients, callbacks of workers, /ready. It must never answer for a
+// work item before the node has, nor let anything of a RequestCtx outlive its handler.
+
 package platform
 
 import (
@@ -24,9 +27,6 @@
 	"weldmast/internal/settings"
 )
 
-// This file owns the listener: requests of clients, callbacks of workers, /ready. It must never answer for a
-// work item before the node has, nor let anything of a RequestCtx outlive its handler.
-
 const (
 	bodyMost   = 64 << 10
 	headMost   = 16 << 10
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -1,3 +1,6 @@
+// This file owns the watch on discovery and the form of its lists. It must never open a watch by itself: the
+// node asks for each one, and is told when it breaks or falls silent.
+
 package platform
 
 import (
@@ -21,9 +24,6 @@
 	"weldmast/internal/settings"
 )
 
-// This file owns the watch on discovery and the form of its lists. It must never open a watch by itself: the
-// node asks for each one, and is told when it breaks or falls silent.
-
 const (
 	discoveryUp     = time.Second
 	discoveryFirst  = time.Second     // it answers at once, or is down
--- a/internal/platform/siblings.go
+++ b/internal/platform/siblings.go
@@ -1,3 +1,6 @@
+// This file owns the datagrams between siblings. It must never wait for one: what cannot be sent at once may
+// be lost, as any message may.
+
 package platform
 
 import (
@@ -11,9 +14,6 @@
 	"weldmast/internal/node"
 )
 
-// This file owns the datagrams between siblings. It must never wait for one: what cannot be sent at once may
-// be lost, as any message may.
-
 const (
 	datagramMost = 256
 	datagramsOut = 256 // that wait to be sent
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -1,3 +1,7 @@
+// This file owns the connections to workers: hand-offs, and their giving up. It must never send anything a
+// second time. fasthttp's client may, and hides whether the last byte was written, which tells work that never
+// ran from work that may have; so connections are kept in pools of its own, and only fasthttp's codecs serve.
+
 package platform
 
 import (
@@ -20,10 +24,6 @@
 	"weldmast/internal/settings"
 )
 
-// This file owns the connections to workers: hand-offs, and their giving up. It must never send anything a
-// second time. fasthttp's client may, and hides whether the last byte was written, which tells work that never
-// ran from work that may have; so connections are kept in pools of its own, and only fasthttp's codecs serve.
-
 const (
 	answerMost = 64 << 10
 	dropWithin = time.Second // a worker's answer to a giving up is read for so long
