--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -1,6 +1,7 @@
 // This file owns the connections to workers: hand-offs, and their giving up. It must never send anything a
-// second time. fasthttp's client may, and hides whether the last byte was written, which tells work that never
-// ran from work that may have; so connections are kept in pools of its own, and only fasthttp's codecs serve.
+// second time. fasthttp's client sends a DELETE again by itself, hides whether the last byte was written, which
+// tells work that never ran from work that may have, and cannot call a request off; so connections are kept in
+// pools of its own, and only fasthttp's codecs serve.
 
 package platform
 
