--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,7 @@
 
 // The front is what speaks to the world. No call may block; what comes of one comes in by the queue.
 type Front interface {
-	// Send starts a hand-off; one Ended follows.
+	// Send starts a hand-off. If the worker does not take it, one Ended follows; if it does, its callbacks tell.
 	Send(s Sending) Attempt
 	// Watch asks discovery for what changed after the revision, in place of an earlier watch, until a Broken.
 	Watch(number int, after int64)
