--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -37,6 +37,7 @@
 const (
 	knownAfter  = 500  // an old list must do when discovery has said nothing for so long
 	acceptAfter = 500  // told to stop, it takes work for so long: clients may not know yet
+	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
 	killAfter   = 3700 // told to stop, it is killed no sooner than this, or 700 after the longest deadline
 	killSlack   = 300  // all is answered so long before that
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
@@ -373,9 +374,16 @@
 		log.Printf("bad=repeated id=%q", c.ID)
 		c.Reply <- Reply{Result: Repeated}
 		return
-	case n.open >= n.maxOpen || n.Phase() == Draining && n.now >= n.drainAt+acceptAfter:
+	case n.Phase() == Draining && n.now >= n.drainAt+acceptAfter: // others will take it at once
 		c.Reply <- Reply{Result: Deferred}
 		return
+	case n.open >= n.maxOpen:
+		r := Reply{Result: Deferred}
+		if n.s.MayPause {
+			r.Pause = min(fullPause, n.s.MaxPause)
+		}
+		c.Reply <- r
+		return
 	}
 	n.next++
 	it := &item{wi: n.next, client: c}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -129,9 +129,17 @@
 			s.at(1020, Departed{a.Client})
 			s.at(1030, Ended{1, 0, dispatch.Cancelled}, s.client("a", 0, 2000))
 		}},
+		{"more than may be open", func(s *script) {
+			for k := range 10 {
+				s.at(1010, s.client(fmt.Sprint(k), 1, 2000))
+			}
+			s.at(1020, s.client("one more", 1, 2000))
+		}},
 		{"an id in use", func(s *script) {
 			s.at(1010, s.client("a", 0, 2000))
-			s.at(1020, Arrived{&Client{ID: "a", Reply: make(chan Reply, 1)}})
+			again := &Client{ID: "a", Reply: make(chan Reply, 1)}
+			s.clients["a again"] = again
+			s.at(1020, Arrived{again})
 		}},
 		{"discovery breaks: asked again; a broken watch's list is passed over; a complete list drops", func(s *script) {
 			s.at(1100, Listing{Watch: 1, Revision: 5, Complete: true, Members: []Member{member("w9", dispatch.Up)}})
