A kept test result no longer stands for a changed program

Seen: after a change of internal/node the tests that start the program came back '(cached)'. Cause: go test compares the test's own binary, from which the linker leaves the program out, and files that tests read. The tests now read the program's sources (main_test.go, sources). Checked by a changed comment: run anew; unchanged: cached. Ruled out: reading them in TestMain, which go test does not watch.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -102,6 +102,24 @@
 	return o.text.String()
 }
 
+// sources reads what the program is built from. go test keeps results until a file changes that a test has
+// read, and the linker leaves the program out of the test's own binary: without this a changed program would
+// pass on the old one's result.
+var sources = sync.OnceValue(func() error {
+	for _, dir := range []string{".", "../../internal", "../../go.mod"} {
+		err := filepath.WalkDir(dir, func(path string, d os.DirEntry, err error) error {
+			if err == nil && !d.IsDir() {
+				_, err = os.ReadFile(path)
+			}
+			return err
+		})
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+})
+
 func newWorld(t *testing.T) *world {
 	w := &world{t: t, told: make(chan struct{}), idle: 15e6, sockets: 1024, known: "null"}
 	l := w.port()
@@ -120,6 +138,7 @@
 	c := free()
 	w.peerAt = c.LocalAddr().String()
 	c.Close()
+	w.must(sources())
 	t.Cleanup(func() {
 		w.disc.Close()
 		w.sibling.Close()
