--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -830,6 +830,31 @@
 	}
 }
 
+// TestStale: a connection that the worker has closed meanwhile is not used again; else exclusive work would be
+// written off, as it may have run.
+func TestStale(t *testing.T) {
+	w := newWorld(t)
+	l := w.port()
+	s := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		accept(job{out: out})
+		go w.back(r.Header.Get("X-Request-Id"), "w1", "done", "")
+	}), ConnState: func(_ net.Conn, s http.ConnState) {
+		if s == http.StateClosed {
+			w.note("closed")
+		}
+	}, IdleTimeout: 20 * time.Millisecond}
+	go s.Serve(l)
+	defer s.Close()
+	w.tell(list(1, true, line("w1", l.Addr().String(), "in_service")))
+	w.start()
+	c := w.dial()
+	for k := range 3 {
+		w.note("client: %s", c.ask(request(fmt.Sprint(k), "/order/x", "")))
+		w.await("closed", k+1)
+	}
+	w.check(strings.Repeat("client: 200\nclosed\n", 3))
+}
+
 // TestBadConfig: the start ends, and names the key.
 func TestBadConfig(t *testing.T) {
 	var all strings.Builder
