--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -39,6 +39,12 @@
 	leastSockets = 64
 )
 
+// What holds where the settings say nothing of connections, in milliseconds.
+const (
+	idleUnsaid    = 5000 // short: a worker that closes first costs a hand-off
+	connectUnsaid = 1000
+)
+
 // file is the JSON as it stands.
 type file struct {
 	Name       string          `json:"name"`
@@ -144,7 +150,16 @@
 	if c.Settings, c.Names, c.Links, err = settings.Read(values, seed); err != nil {
 		return c, fmt.Errorf("settings.%w", err)
 	}
-	c.Links.MaxOpen = min(c.Links.MaxOpen, c.Sockets/2) // a client that waits holds one
+	l := &c.Links
+	if l.Idle <= 0 {
+		l.Idle = idleUnsaid
+	}
+	if l.Connect <= 0 {
+		l.Connect = connectUnsaid
+	}
+	if most := c.Sockets / 2; l.MaxOpen <= 0 || l.MaxOpen > most { // a client that waits holds a socket
+		l.MaxOpen = most
+	}
 	if s := &c.Settings; len(c.Peers) == 0 || !c.PeerListen.IsValid() {
 		s.MayTell = false // no way to tell anybody
 	} else if len(c.Peers) != s.Siblings {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,9 +9,7 @@
 	"container/heap"
 	"fmt"
 	"log"
-	"maps"
 	"math"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +36,6 @@
 	knownAfter  = 500  // an old list must do when discovery has said nothing for so long
 	acceptAfter = 500  // told to stop, it takes work for so long: clients may not know yet
 	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
-	killAfter   = 3700 // told to stop, it is killed no sooner than this, or 700 after the longest deadline
-	killSlack   = 300  // all is answered so long before that
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
 	queueSize   = 4096 // values that wait for the reducer
 )
@@ -224,7 +220,6 @@
 	listed     bool // discovery itself has spoken
 	startAt    float64
 	drainAt    float64
-	drainFor   float64 // what it has taken is answered within this time once it was told to stop
 }
 
 // New makes a node that serves once it is run; known is the list as it last was, perhaps old.
@@ -233,11 +228,6 @@
 		stopped: make(chan struct{}), base: time.Now(), items: map[uint64]*item{}, byID: map[string]*item{},
 		addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1), watchAt: math.Inf(1),
 		revision: known.Revision}
-	longest := 0.0
-	for _, c := range s.Categories {
-		longest = max(longest, c.Expiry)
-	}
-	n.drainFor = min(longest+700, killAfter) - killSlack
 	n.baseMS = float64(n.base.UnixMicro()) / 1000
 	n.take(known.Members)
 	n.inbox = append(n.inbox, listed{dispatch.Restored, known.Members})
@@ -312,8 +302,6 @@
 	case Draining:
 		if n.settled() {
 			at = min(at, n.drainAt+acceptAfter)
-		} else if t := n.drainAt + n.drainFor; n.now < t {
-			at = min(at, t)
 		}
 	}
 	if len(n.inbox) > 0 || n.wake {
@@ -378,7 +366,7 @@
 	case n.Phase() == Draining && n.now >= n.drainAt+acceptAfter: // others will take it at once
 		c.Reply <- Reply{Result: Deferred}
 		return
-	case n.open >= n.maxOpen:
+	case n.open >= n.maxOpen: // as the settings say, or no socket is left for one more client that waits
 		r := Reply{Result: Deferred}
 		if n.s.MayPause {
 			r.Pause = min(fullPause, n.s.MaxPause)
@@ -450,8 +438,10 @@
 		case c.State == Done: // of either: it is the worker's result for this work item
 			n.ended(it, ho, dispatch.Finished, c.Result)
 			return
-		case before: // nothing tells which; taken for this one's, work that runs would count as unrun
-			h.attempt.GiveUp()
+		case before:
+			// Nothing tells which. Taken for the newer one's, work that runs could count as never run and run
+			// twice; so it is passed over, and the dispatcher's doubts or the expiry end the newer one.
+			log.Printf("callback=ambiguous id=%q from=%s", c.ID, c.From)
 			return
 		default:
 			n.ended(it, ho, map[CallbackState]dispatch.Outcome{Failed: dispatch.Failed,
@@ -515,8 +505,10 @@
 				n.ended(it, t.ho, dispatch.TimedOut, "")
 				h.attempt.GiveUp()
 			}
-		default:
-			n.overdue(it)
+		case !it.done: // the dispatcher gave no answer by the deadline and the slack
+			log.Printf("overdue=%q", it.client.ID)
+			n.answer(it, Reply{Result: Overdue})
+			n.inbox = append(n.inbox, left(it.wi))
 		}
 	}
 	if n.now >= n.watchAt {
@@ -530,11 +522,6 @@
 	case Draining:
 		if n.settled() && n.now >= n.drainAt+acceptAfter {
 			n.enter(Stopped)
-		} else if n.open > 0 && n.now >= n.drainAt+n.drainFor {
-			// Killed with it, the client would learn nothing: it may have run, which is what this answer says.
-			for _, wi := range slices.Sorted(maps.Keys(n.items)) {
-				n.overdue(n.items[wi])
-			}
 		}
 	}
 }
@@ -542,16 +529,6 @@
 // settled tells that all is answered, and that the dispatcher has seen it: what is still out is called off.
 func (n *Node) settled() bool { return n.open == 0 && n.lastAt >= n.answeredAt }
 
-// overdue answers a client that got no answer in time.
-func (n *Node) overdue(it *item) {
-	if it.done {
-		return
-	}
-	log.Printf("overdue=%q", it.client.ID)
-	n.answer(it, Reply{Result: Overdue})
-	n.inbox = append(n.inbox, left(it.wi))
-}
-
 // chance draws from [0, 1) by multiply-with-carry.
 func (n *Node) chance() float64 {
 	n.mwc = 4294957665*(n.mwc&math.MaxUint32) + n.mwc>>32
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -94,6 +94,7 @@
 		idleFor: time.Duration(l.Idle / 2 * ms), most: most, copies: copies, idle: map[string][]*workerConn{}}
 }
 
+// errTooMany: all connections to workers that the limit allows are in use. The hand-off could not connect.
 var errTooMany = errors.New("too many connections to workers")
 
 // get takes an idle connection that is fit for use, or opens one.
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -78,7 +78,7 @@
 	Free                              string // load value that tells free slots
 }
 
-// Links is what the settings say of connections, for a front that has real ones.
+// Links is what the settings say of connections, for a front that has real ones; 0 where they say nothing.
 type Links struct {
 	Idle    float64 // a worker closes a connection that has been idle for so long
 	Connect float64 // one that is not up within this time counts as failed
@@ -146,8 +146,8 @@
 		MaxHandOffs: int(r.num("allowed.max_hand_offs", 1)), AnswerSlack: r.ms("safety.answer_slack"),
 		AskWithin: r.ms("safety.ask_within"), StartShare: r.num("safety.start_capacity", 0),
 		Cold: r.ms("safety.cold"), FallMultiple: r.num("safety.fall_multiple", 1), Fall: r.ms("safety.fall")}
-	l := Links{Idle: r.num("allowed.conn_idle", 15e6) / 1000, Connect: r.num("allowed.connect_timeout", 250e3) / 1000,
-		MaxOpen: int(r.num("allowed.open_cap", 20000))}
+	l := Links{Idle: r.ms("allowed.conn_idle"), Connect: r.ms("allowed.connect_timeout"),
+		MaxOpen: int(r.num("allowed.open_cap", 0))}
 	for _, x := range []string{"x0", "x1"} {
 		if r.text("family_info.report_"+x) == "free_slots" {
 			n.Free = x
