SIGHUP moves discovery to the file's address and takes its whole list first

Tested: the log shows the process gone at the signal; no handler for SIGHUP in cmd/weldmast (signal.Notify had SIGTERM and SIGINT only), and the address of discovery was fixed in platform.Options. Now: config.Reload reads and checks the file (its address goes before ROUTER_DISCOVERY), the reducer takes Moved, opens a watch that first takes the whole list; a watch's number keeps out late lines of the old one. Revisions of 'known' are no longer used either: they may stem from another address.

--- a/cmd/weldmast/main.go
+++ b/cmd/weldmast/main.go
@@ -26,6 +26,8 @@
 func run() error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
+	reload := make(chan os.Signal, 1) // its own: many of these must not crowd out the order to stop
+	signal.Notify(reload, syscall.SIGHUP)
 	c, err := config.Load(os.Getenv)
 	if err != nil {
 		return fmt.Errorf("configuration: %w", err)
@@ -38,21 +40,35 @@
 			return fmt.Errorf("configuration: known: %w", err)
 		}
 	}
-	o := platform.Options{Listen: c.Listen, Discovery: c.Discovery, PeerListen: c.PeerListen, Peers: c.Peers,
+	o := platform.Options{Listen: c.Listen, PeerListen: c.PeerListen, Peers: c.Peers,
 		PeersAll: c.PeersAll, Number: c.Settings.Number, Names: c.Names, Links: c.Links,
 		Copies: c.Settings.SecondCopies, Sockets: c.Sockets}
 	for _, category := range c.Settings.Categories {
 		o.Expiries = append(o.Expiries, category.Expiry)
 	}
-	n := node.New(c.Settings, c.Links.MaxOpen, known)
+	n := node.New(c.Settings, c.Links.MaxOpen, c.Discovery.String(), known)
 	p, err := platform.Start(o, n)
 	if err != nil {
 		return err
 	}
 	log.Printf("name=%s pid=%d", c.Name, os.Getpid())
 	go func() {
-		<-stop
-		n.Queue(node.Stop{})
+		for {
+			select {
+			case <-n.Done():
+				return
+			case <-stop:
+				n.Queue(node.Stop{})
+			case <-reload:
+				next, kept, err := config.Reload(os.Getenv, c)
+				if err != nil {
+					log.Printf("reload=refused err=%q", err)
+					continue
+				}
+				log.Printf("reload=taken until_restart=%q", kept)
+				n.Queue(node.Moved{Discovery: next.Discovery.String()})
+			}
+		}
 	}()
 	n.Run(p)
 	p.Close()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -11,6 +11,8 @@
 	"math"
 	"net/netip"
 	"os"
+	"reflect"
+	"slices"
 
 	"weldmast/internal/dispatch"
 	"weldmast/internal/settings"
@@ -68,6 +70,30 @@
 // Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY go before
 // what it says. An error names the key at fault.
 func Load(getenv func(string) string) (Config, error) {
+	return load(getenv, getenv("ROUTER_DISCOVERY"))
+}
+
+// Reload reads and checks the file again. ROUTER_DISCOVERY told of the start: what the file says now is newer.
+// Changed names the keys that differ and that only a new start can heed.
+func Reload(getenv func(string) string, old Config) (c Config, changed []string, err error) {
+	if c, err = load(getenv, ""); err != nil {
+		return old, nil, err
+	}
+	c.Settings.Seed = old.Settings.Seed // new with each start
+	is, was := reflect.ValueOf(c), reflect.ValueOf(old)
+	for k := range is.NumField() {
+		name := is.Type().Field(k).Name
+		if !slices.Contains(heeded, name) && !reflect.DeepEqual(is.Field(k).Interface(), was.Field(k).Interface()) {
+			changed = append(changed, name)
+		}
+	}
+	return c, changed, nil
+}
+
+// heeded at a reload, or of no meaning to a program that runs.
+var heeded = []string{"Discovery", "Known"}
+
+func load(getenv func(string) string, discovery string) (Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return Config{}, errors.New("ROUTER_CONFIG is missing")
@@ -87,11 +113,14 @@
 	for _, v := range []struct {
 		to   *string
 		name string
-	}{{&f.Name, "ROUTER_NAME"}, {&f.Listen, "ROUTER_LISTEN"}, {&f.Discovery, "ROUTER_DISCOVERY"}} {
+	}{{&f.Name, "ROUTER_NAME"}, {&f.Listen, "ROUTER_LISTEN"}} {
 		if set := getenv(v.name); set != "" {
 			*v.to = set
 		}
 	}
+	if discovery != "" {
+		f.Discovery = discovery
+	}
 	return f.check()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,12 +40,16 @@
 	queueSize   = 4096 // values that wait for the reducer
 )
 
+// Whole in place of a revision asks for the whole list.
+const Whole = -1
+
 // The front is what speaks to the world. No call may block; what comes of one comes in by the queue.
 type Front interface {
 	// Send starts a hand-off. If the worker does not take it, one Ended follows; if it does, its callbacks tell.
 	Send(s Sending) Attempt
-	// Watch asks discovery for what changed after the revision, in place of an earlier watch, until a Broken.
-	Watch(number int, after int64)
+	// Watch asks discovery at the address for what changed after the revision, or for the whole list and then
+	// for its changes, in place of an earlier watch, until a Broken.
+	Watch(number int, addr string, after int64)
 	// Tell sends a message to a sibling, or to all for -1.
 	Tell(to int, data []byte)
 	// Drain makes clients go elsewhere: no connection is kept beyond its present request.
@@ -128,6 +132,8 @@
 	}
 	// Broken is the end of a watch.
 	Broken struct{ Watch int }
+	// Moved gives the address at which discovery is found from now on.
+	Moved struct{ Discovery string }
 	// Heard is a sibling's message.
 	Heard struct {
 		From int
@@ -216,18 +222,20 @@
 	watch      int     // number of the present watch
 	asked      bool    // the dispatcher asked for it and has no answer yet
 	watchAt    float64 // discovery is asked again then; infinite: not now
-	revision   int64
-	listed     bool // discovery itself has spoken
+	discovery  string  // its address
+	revision   int64   // the last that it told; Whole: it has told no whole list
+	listed     bool    // discovery itself has spoken
 	startAt    float64
 	drainAt    float64
 }
 
-// New makes a node that serves once it is run; known is the list as it last was, perhaps old.
-func New(s dispatch.Settings, maxOpen int, known Listing) *Node {
+// New makes a node that serves once it is run; known is the list as it last was, perhaps old. Its revision says
+// nothing to discovery, which may have been at another address then, with another count.
+func New(s dispatch.Settings, maxOpen int, discovery string, known Listing) *Node {
 	n := &Node{s: s, maxOpen: maxOpen, d: dispatch.New(s), queue: make(chan any, queueSize),
 		stopped: make(chan struct{}), base: time.Now(), items: map[uint64]*item{}, byID: map[string]*item{},
 		addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1), watchAt: math.Inf(1),
-		revision: known.Revision}
+		discovery: discovery, revision: Whole}
 	n.baseMS = float64(n.base.UnixMicro()) / 1000
 	n.take(known.Members)
 	n.inbox = append(n.inbox, listed{dispatch.Restored, known.Members})
@@ -344,6 +352,12 @@
 			return
 		}
 		n.watchAt = n.now + watchGap*(0.5+n.chance())
+	case Moved:
+		// What the old address told stays in use until the new one has given its whole list: it may count
+		// revisions its own way. The same address is asked anew as well.
+		log.Printf("discovery=%s was=%s phase=%s", v.Discovery, n.discovery, n.Phase())
+		n.discovery, n.revision = v.Discovery, Whole
+		n.ask()
 	case Heard:
 		n.inbox = append(n.inbox, v)
 	case Stop:
@@ -486,7 +500,7 @@
 	n.watch++
 	n.asked = n.s.MustAsk
 	n.watchAt = math.Inf(1)
-	n.front.Watch(n.watch, n.revision)
+	n.front.Watch(n.watch, n.discovery, n.revision)
 }
 
 func (n *Node) at(when float64, wi uint64, ho int) { heap.Push(&n.dues, due{when, wi, ho}) }
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"log"
 	"net"
 	"net/netip"
@@ -90,39 +91,85 @@
 type discovery struct {
 	ctx     context.Context
 	node    *node.Node
-	addr    string
 	names   settings.Names
 	running *sync.WaitGroup
 	stop    context.CancelFunc // of the present watch; the reducer alone calls watch
 }
 
-func (d *discovery) watch(number int, after int64) {
+func (d *discovery) watch(number int, addr string, after int64) {
 	if d.stop != nil {
 		d.stop()
 	}
 	ctx, stop := context.WithCancel(d.ctx)
 	d.stop = stop
 	d.running.Go(func() {
-		err := d.read(ctx, number, after)
+		err := d.read(ctx, number, addr, after)
 		if ctx.Err() == nil {
-			log.Printf("watch=%d err=%q", number, err)
+			log.Printf("watch=%d discovery=%s err=%q", number, addr, err)
 		}
 		stop()
 		d.node.Queue(node.Broken{Watch: number})
 	})
 }
 
-func (d *discovery) read(ctx context.Context, number int, after int64) error {
+// read brings what discovery tells until it breaks: the whole list first, where that is asked for.
+func (d *discovery) read(ctx context.Context, number int, addr string, after int64) error {
+	if after == node.Whole {
+		err := d.call(ctx, addr, "/v1/endpoints", func(_ net.Conn, body io.Reader) error {
+			text, err := io.ReadAll(io.LimitReader(body, listMost))
+			if err != nil {
+				return err
+			}
+			l, err := DecodeListing(text, d.names)
+			if err != nil {
+				return fmt.Errorf("bad list: %w", err)
+			}
+			l.Watch, l.Complete, after = number, true, l.Revision
+			d.node.Queue(l)
+			return nil
+		})
+		if err != nil {
+			return err
+		}
+	}
+	path := "/v1/endpoints?watch=1&after=" + strconv.FormatInt(after, 10)
+	return d.call(ctx, addr, path, func(conn net.Conn, body io.Reader) error {
+		lines := bufio.NewScanner(body)
+		lines.Buffer(nil, listMost)
+		for first := true; lines.Scan(); first = false {
+			conn.SetDeadline(time.Now().Add(discoverySilent))
+			if len(lines.Bytes()) == 0 {
+				if first { // it speaks: nothing has changed since
+					d.node.Queue(node.Listing{Watch: number, Revision: after})
+				}
+				continue
+			}
+			l, err := DecodeListing(lines.Bytes(), d.names)
+			if err != nil { // what it told would be missing: ask again after the last that was read
+				return fmt.Errorf("bad line: %w", err)
+			}
+			l.Watch = number
+			d.node.Queue(l)
+		}
+		if lines.Err() != nil {
+			return lines.Err()
+		}
+		return errors.New("it ended")
+	})
+}
+
+// call makes one request on a connection of its own and hands over the body of its answer.
+func (d *discovery) call(ctx context.Context, addr, path string, use func(net.Conn, io.Reader) error) error {
 	dialer := net.Dialer{Timeout: discoveryUp}
-	conn, err := dialer.DialContext(ctx, "tcp", d.addr)
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.Close() })()
 	var q fasthttp.Request
-	q.Header.SetRequestURI("/v1/endpoints?watch=1&after=" + strconv.FormatInt(after, 10))
-	q.Header.SetHost(d.addr)
+	q.Header.SetRequestURI(path)
+	q.Header.SetHost(addr)
 	conn.SetDeadline(time.Now().Add(discoveryFirst))
 	if _, err = conn.Write(q.Header.AppendBytes(nil)); err != nil {
 		return err
@@ -135,25 +182,5 @@
 	if r.StatusCode() != fasthttp.StatusOK {
 		return fmt.Errorf("status %d", r.StatusCode())
 	}
-	lines := bufio.NewScanner(r.BodyStream())
-	lines.Buffer(nil, listMost)
-	for first := true; lines.Scan(); first = false {
-		conn.SetDeadline(time.Now().Add(discoverySilent))
-		if len(lines.Bytes()) == 0 {
-			if first { // it speaks: nothing has changed since
-				d.node.Queue(node.Listing{Watch: number, Revision: after})
-			}
-			continue
-		}
-		l, err := DecodeListing(lines.Bytes(), d.names)
-		if err != nil { // what it told would be missing: ask again after the last that was read
-			return fmt.Errorf("bad line: %w", err)
-		}
-		l.Watch = number
-		d.node.Queue(l)
-	}
-	if lines.Err() != nil {
-		return lines.Err()
-	}
-	return errors.New("it ended")
+	return use(conn, r.BodyStream())
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -20,7 +20,6 @@
 // Options is what the parts need to know.
 type Options struct {
 	Listen     netip.AddrPort
-	Discovery  netip.AddrPort
 	PeerListen netip.AddrPort
 	Peers      []netip.AddrPort
 	PeersAll   netip.AddrPort
@@ -54,7 +53,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Platform{stop: stop}
 	p.workers = newWorkers(n, o.Links, o.Copies, int(workerPart*float64(o.Sockets)))
-	p.discovery = &discovery{ctx: ctx, node: n, addr: o.Discovery.String(), names: o.Names, running: &p.running}
+	p.discovery = &discovery{ctx: ctx, node: n, names: o.Names, running: &p.running}
 	var err error
 	if p.siblings, err = listenSiblings(o, n); err == nil {
 		p.clients, err = listenClients(o, n, int(clientPart*float64(o.Sockets)))
@@ -75,7 +74,9 @@
 func (p *Platform) Send(s node.Sending) node.Attempt { return p.workers.send(s) }
 
 // Watch opens a watch on discovery.
-func (p *Platform) Watch(number int, after int64) { p.discovery.watch(number, after) }
+func (p *Platform) Watch(number int, addr string, after int64) {
+	p.discovery.watch(number, addr, after)
+}
 
 // Tell sends a message to siblings.
 func (p *Platform) Tell(to int, data []byte) { p.siblings.tell(to, data) }
