Heads that readers could take differently are refused; silent and slow connections give way

Tested: raw heads logged at the workers' 400: an empty X-Deadline, and Content-Length beside Transfer-Encoding, each tried at up to five workers that then counted as failing. Probed on fasthttp besides: it takes lone line feeds, folded lines, blanks in names, identity, any HTTP/d.d. At fault: clients.go number (empty counts as absent, exponents and hexadecimal pass), submit (no look at the raw head), makeRoom (Accept waits, idle usual connections give way before silent ones), readWithin of 10 s, 4xx answers that left the connection open. Now: guard.go checks the raw head before its body is read, a whole request is due 2 s after the connection, at the limit the longest silent connection gives way, then the longest idle, then the longest begun; never one with bytes waiting; refused ones are closed.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -412,8 +412,11 @@
 
 // request is a job of a client.
 func request(id, path, headers string) string {
+	if !strings.Contains(headers, "X-Cost-Hint") {
+		headers += "X-Cost-Hint: 200000\r\n"
+	}
 	return "POST " + path + " HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\n" + headers +
-		"X-Tenant: acme\r\nX-Cost-Hint: 200000\r\nContent-Length: 4\r\n\r\nbody"
+		"X-Tenant: acme\r\nContent-Length: 4\r\n\r\nbody"
 }
 
 // client is one connection.
@@ -730,8 +733,35 @@
 		{"unknown tenant", request("a", "/plan/x", "X-Tenant: other\r\n")},
 		{"deadline no number", request("a", "/plan/x", "X-Deadline: soon\r\n")},
 		{"deadline below zero", request("a", "/plan/x", "X-Deadline: -1\r\n")},
-		{"deadline too far", request("far", "/plan/x", "X-Deadline: 1e6\r\n")},
+		{"deadline too far", request("far", "/plan/x", "X-Deadline: 1000000.0\r\n")},
 		{"hint no number", request("a", "/plan/x", "X-Cost-Hint: NaN\r\n")},
+		{"hint below zero", request("a", "/plan/x", "X-Cost-Hint: -1\r\n")},
+		{"deadline empty", request("a", "/plan/x", "X-Deadline: \r\n")},
+		{"deadline with exponent", request("a", "/plan/x", "X-Deadline: 1e1\r\n")},
+		{"deadline in hexadecimal", request("a", "/plan/x", "X-Deadline: 0x1p2\r\n")},
+		{"deadline twice", request("a", "/plan/x", "X-Deadline: 4\r\nX-Deadline: 4\r\n")},
+		{"id twice", request("a", "/plan/x", "x-request-id: b\r\n")},
+		{"id empty", request("", "/plan/x", "")},
+		{"two framings", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 60\r\n" +
+			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + request("hidden", "/plan/x", "")},
+		{"two framings the other way", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\n" +
+			"Transfer-Encoding: chunked\r\ncontent-length: 60\r\n\r\n0\r\n\r\n" + request("hidden", "/plan/x", "")},
+		{"identity", request("a", "/plan/x", "Transfer-Encoding: identity\r\n")},
+		{"length twice", request("a", "/plan/x", "Content-Length: 4\r\n")},
+		{"length signed", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: +4\r\n\r\nbody"},
+		{"length below zero", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: -4\r\n\r\nbody"},
+		{"length huge", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 99999999999999999999\r\n\r\n"},
+		{"chunk no number", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nbody\r\n0\r\n\r\n"},
+		{"chunk too long", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n"},
+		{"chunk huge", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n"},
+		{"first line with LF", strings.Replace(request("a", "/plan/x", ""), "\r\n", "\n", 1)},
+		{"a header with LF", strings.Replace(request("a", "/plan/x", ""), "x\r\nX-R", "x\nX-R", 1)},
+		{"lone CR", request("a", "/plan/x", "X-Extras: a\rb\r\n")},
+		{"NUL", request("a", "/plan/x", "X-Extras: a\x00b\r\n")},
+		{"folded", request("a", "/plan/x", "X-Extras: a\r\n b\r\n")},
+		{"blank before the colon", request("a", "/plan/x", "X-Extras : a\r\n")},
+		{"HTTP/2.0", strings.Replace(request("a", "/plan/x", ""), "HTTP/1.1", "HTTP/2.0", 1)},
+		{"path no path", request("a", "http://x/plan/x", "")},
 		{"too large", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 65537\r\n\r\n"},
 		{"header too large", request("a", "/plan/x", "X-Extras: "+strings.Repeat("a", 20000)+"\r\n")},
 		{"callback no JSON", "POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n{"},
@@ -755,6 +785,31 @@
 w1: far
 deadline too far: 200 from w1
 hint no number: 400
+hint below zero: 400
+deadline empty: 400
+deadline with exponent: 400
+deadline in hexadecimal: 400
+deadline twice: 400
+id twice: 400
+id empty: 400
+two framings: 400
+two framings the other way: 400
+identity: 400
+length twice: 400
+length signed: 400
+length below zero: 400
+length huge: 400
+chunk no number: 400
+chunk too long: 400
+chunk huge: 413
+first line with LF: 400
+a header with LF: 400
+lone CR: 400
+NUL: 400
+folded: 400
+blank before the colon: 400
+HTTP/2.0: 400
+path no path: 400
 too large: 413
 header too large: 431
 callback no JSON: 400
@@ -800,7 +855,7 @@
 	io.WriteString(busy, request("a", "/order/x", ""))
 	w.await("w1: a", 1)
 	w.back("a", "w1", "started", "")
-	w.note("idle: %s", idle.ask(request("repeated", "/none/x", "")))
+	w.note("idle: %s", idle.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"))
 	w.must(w.cmd.Process.Signal(syscall.SIGTERM))
 	w.until("not ready", func() bool { return w.get("/ready") == 503 })
 	w.note("idle: %s", idle.answer())
@@ -814,7 +869,7 @@
 	w.note("busy: %s", busy.answer())
 	w.note("exit: %v", w.cmd.Wait())
 	w.check(`w1: a
-idle: 404
+idle: 200 serving
 idle: no answer
 w1: b
 b: 200
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -1,5 +1,6 @@
-// This file owns the listener: requests of clients, callbacks of workers, /ready. It must never answer for a
-// work item before the node has, nor let anything of a RequestCtx outlive its handler.
+// This file owns what is read on the listener: requests of clients, callbacks of workers, /ready. It must never
+// answer for a work item before the node has, nor let anything of a RequestCtx outlive its handler. guard.go owns the
+// connections.
 
 package platform
 
@@ -8,12 +9,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"log"
 	"math"
 	"net"
 	"net/url"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,7 +32,9 @@
 	idMost     = 128
 	whyMost    = 200
 	clientIdle = time.Minute
-	readWithin = 10 * time.Second // for the rest of a request once it has begun, and to write an answer
+	// A request must be there whole this long after its connection, a later one after its first byte; an answer
+	// must be read within it as well.
+	readWithin = 2 * time.Second
 )
 
 type clients struct {
@@ -54,10 +55,12 @@
 		return nil, err
 	}
 	c := &clients{node: n, names: o.Names, expiries: o.Expiries, listener: l, most: most, conns: map[*clientConn]bool{}}
-	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread, Concurrency: most + 1,
+	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread, Concurrency: 2*most + 1, // closed ones may still be ending
+
 		ReadTimeout: readWithin, WriteTimeout: readWithin, IdleTimeout: clientIdle,
 		MaxRequestBodySize: bodyMost, ReadBufferSize: headMost, DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: serverLog{},
+		SecureErrorLogMessage: true, HeaderReceived: spareBody,
 		ConnState: func(c net.Conn, s fasthttp.ConnState) {
 			if s == fasthttp.StateIdle {
 				c.(*clientConn).idle()
@@ -138,12 +141,27 @@
 	why = why[:min(len(why), whyMost)]
 	log.Printf("bad=%q status=%d from=%s", why, status, ctx.RemoteAddr())
 	ctx.Error(why+"\n", status)
+	ctx.SetConnectionClose() // guards against those that ask again and again, or stay
+}
+
+// spareBody keeps the body of a request whose head is at fault from being read.
+func spareBody(h *fasthttp.RequestHeader) fasthttp.RequestConfig {
+	if headFault(h) != "" {
+		h.SetContentLength(0)
+	}
+	return fasthttp.RequestConfig{}
 }
 
 func (c *clients) handle(ctx *fasthttp.RequestCtx) {
 	uri := ctx.Request.Header.RequestURI()
 	path, _, _ := bytes.Cut(uri, []byte("?"))
+	fault := headFault(&ctx.Request.Header)
+	if !ctx.Conn().(*clientConn).begin() {
+		fault = "the request line does not end in CRLF"
+	}
 	switch {
+	case fault != "":
+		refuse(ctx, fasthttp.StatusBadRequest, fault)
 	case string(path) == "/ready" && ctx.IsGet():
 		if c.node.Phase() != node.Serving {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
@@ -242,15 +260,16 @@
 		Message: newMessage(r), Reply: make(chan node.Reply, 1)}, 0, nil
 }
 
-// number reads a header that must not be below zero.
+// number reads a header that is a plain decimal: digits, perhaps a point and more.
 func number(r *fasthttp.Request, header string, absent float64) (float64, error) {
-	text := r.Header.Peek(header)
-	if len(text) == 0 {
+	all := r.Header.PeekAll(header)
+	if len(all) == 0 {
 		return absent, nil
 	}
-	x, err := strconv.ParseFloat(string(text), 64)
-	if err != nil || !(x >= 0) || x > math.MaxInt32 {
-		return 0, fmt.Errorf("%s: %q is not a number from 0 up", header, text)
+	text := string(all[0])
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil || strings.Trim(text, "0123456789.") != "" || x > math.MaxInt32 {
+		return 0, fmt.Errorf("%s: %q is not a plain decimal", header, text[:min(len(text), whyMost)])
 	}
 	return x, nil
 }
@@ -270,130 +289,8 @@
 		ctx.Error("no answer in time\n", fasthttp.StatusGatewayTimeout)
 	case node.Repeated:
 		ctx.Error("X-Request-Id is in use\n", fasthttp.StatusConflict)
+		ctx.SetConnectionClose()
 	case node.Gone:
 		ctx.SetConnectionClose()
 	}
 }
-
-// makeRoom waits until another connection is within the limit. Idle ones give way: first those that have
-// had a request, then those that have not. fasthttp would answer 503 before it has read the request, and the
-// closing could take that answer with it.
-func (c *clients) makeRoom() {
-	for fresh := false; ; fresh = true {
-		conns := c.all()
-		if len(conns) < c.most || c.node.Phase() == node.Stopped {
-			return
-		}
-		for _, conn := range conns {
-			conn.closeIdle(fresh)
-		}
-		time.Sleep(time.Millisecond)
-	}
-}
-
-// Accept makes the clients the listener that fasthttp serves.
-func (c *clients) Accept() (net.Conn, error) {
-	c.makeRoom()
-	conn, err := c.listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	cc := &clientConn{Conn: conn, owner: c}
-	c.mu.Lock()
-	c.conns[cc] = true
-	c.mu.Unlock()
-	return cc, nil
-}
-
-// Close ends the listener.
-func (c *clients) Close() error { return c.listener.Close() }
-
-// Addr is where it listens.
-func (c *clients) Addr() net.Addr { return c.listener.Addr() }
-
-// clientConn is a connection that can be closed between requests without losing one, and watched while a
-// request is served: fasthttp's handler does not notice a client that leaves.
-type clientConn struct {
-	net.Conn
-	owner   *clients
-	mu      sync.Mutex
-	busy    bool // a byte of a request was read, and it has not been answered
-	served  bool // it had a request before
-	closing bool
-	ahead   []byte        // what the watch read
-	watched chan struct{} // closed when the watch has ended
-	ending  atomic.Bool   // the watch is to end
-}
-
-// Read gives out what came; a connection closed for being idle gives nothing, so that no request is taken
-// from it that the client believes unread.
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := 0, error(nil)
-	if len(c.ahead) > 0 {
-		n = copy(p, c.ahead)
-		c.ahead = c.ahead[n:]
-	} else {
-		n, err = c.Conn.Read(p)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return 0, net.ErrClosed
-	}
-	if !c.busy && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
-		return 0, io.EOF // nothing came: closed without a word, where fasthttp would answer 408 to a new one
-	}
-	c.busy = c.busy || n > 0
-	return n, err
-}
-
-func (c *clientConn) idle() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.busy, c.served = false, true
-}
-
-// closeIdle closes the connection if no request is on it; a new one that had none yet only on demand, as
-// its first request is on the way. It tells whether none is.
-func (c *clientConn) closeIdle(fresh bool) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.busy && (c.served || fresh) {
-		c.closing = true
-		c.Conn.Close()
-	}
-	return !c.busy
-}
-
-// Close ends the connection.
-func (c *clientConn) Close() error {
-	c.owner.mu.Lock()
-	delete(c.owner.conns, c)
-	c.owner.mu.Unlock()
-	return c.Conn.Close()
-}
-
-// watch calls left when the client closes the connection. A byte that comes instead begins the next
-// request, and is kept for it.
-func (c *clientConn) watch(left func()) {
-	c.watched = make(chan struct{})
-	c.ending.Store(false)
-	c.Conn.SetReadDeadline(time.Time{})
-	go func() {
-		defer close(c.watched)
-		var b [1]byte
-		n, err := c.Conn.Read(b[:])
-		if n > 0 {
-			c.ahead = append(c.ahead, b[0])
-		} else if !(c.ending.Load() && errors.Is(err, os.ErrDeadlineExceeded)) {
-			left()
-		}
-	}()
-}
-
-func (c *clientConn) unwatch() {
-	c.ending.Store(true)
-	c.Conn.SetReadDeadline(time.Unix(1, 0))
-	<-c.watched
-	c.Conn.SetReadDeadline(time.Time{})
-}
--- /dev/null
+++ b/internal/platform/guard.go
@@ -0,0 +1,287 @@
+// This file guards the listener: it owns the connections of clients and callbacks, how many may stand, how long one may
+// stay silent or half said, and which heads are no requests. It must never close a connection whose request is being
+// served, nor look at what a request asks for.
+
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// once are the headers that a request may hold but once: with two, this program and a worker could read it differently.
+var once = []string{"Content-Length", "Transfer-Encoding", "Host", "X-Request-Id", "X-Tenant", "X-Deadline",
+	"X-Cost-Hint", "X-Retry", "X-Extras"}
+
+// headFault tells why a head is not one that every reader takes alike, or nothing. fasthttp is more lenient: it takes
+// lone line feeds, folded lines, blanks in names and Content-Length beside Transfer-Encoding, whose body may hide
+// another request.
+func headFault(h *fasthttp.RequestHeader) string {
+	if v := string(h.Protocol()); v != "HTTP/1.1" && v != "HTTP/1.0" {
+		return "not HTTP/1.1 or 1.0"
+	}
+	var seen [16]bool
+	for rest := h.RawHeaders(); len(rest) > 0; {
+		line, next, ended := bytes.Cut(rest, []byte("\r\n"))
+		if !ended {
+			return "a header line does not end in CRLF"
+		}
+		rest = next
+		if len(line) == 0 {
+			break
+		}
+		for _, b := range line {
+			if b < ' ' && b != '\t' || b == 0x7f {
+				return "a control character in a header"
+			}
+		}
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		if len(name) == 0 || bytes.ContainsAny(name, " \t") {
+			return "a header's name is empty or holds a blank"
+		}
+		for k, o := range once {
+			if !strings.EqualFold(o, string(name)) {
+				continue
+			}
+			if seen[k] {
+				return o + " stands there twice"
+			}
+			seen[k] = true
+			if k == 1 && !strings.EqualFold(strings.TrimSpace(string(value)), "chunked") {
+				return "Transfer-Encoding is not chunked"
+			}
+		}
+	}
+	if seen[0] && seen[1] {
+		return "both Content-Length and Transfer-Encoding"
+	}
+	return ""
+}
+
+// Accept makes the clients the listener that fasthttp serves. It waits for a client only: who is owed an answer or a
+// look at /ready must get through a flood of others.
+func (c *clients) Accept() (net.Conn, error) {
+	conn, err := c.listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	cc := &clientConn{Conn: conn, owner: c, since: time.Now()}
+	c.mu.Lock()
+	c.conns[cc] = true
+	c.mu.Unlock()
+	for c.makeRoom() {
+	}
+	for int(c.server.GetOpenConnectionsCount()) >= 2*c.most { // those that were closed have yet to end
+		time.Sleep(time.Millisecond)
+	}
+	return cc, nil
+}
+
+// makeRoom closes one connection beyond the limit: the longest silent of those that never sent anything, else the
+// longest idle after a request, else the one whose request has been coming in for longest. Those whose request is
+// being served stay; the node takes no more of them than half of all descriptors.
+func (c *clients) makeRoom() bool {
+	conns := c.all()
+	if len(conns) <= c.most {
+		return false
+	}
+	var first *clientConn
+	var least standing
+	for _, conn := range conns {
+		if s := conn.standing(); s.rank < served && (first == nil || s.before(least)) {
+			first, least = conn, s
+		}
+	}
+	return first != nil && first.give(least.rank)
+}
+
+// Close ends the listener.
+func (c *clients) Close() error { return c.listener.Close() }
+
+// Addr is where it listens.
+func (c *clients) Addr() net.Addr { return c.listener.Addr() }
+
+// How near a connection is to being served; those lower down give way first.
+const (
+	silent = iota
+	idle
+	coming
+	served
+)
+
+type standing struct {
+	rank  int
+	since time.Time
+}
+
+func (s standing) before(o standing) bool {
+	return s.rank < o.rank || s.rank == o.rank && s.since.Before(o.since)
+}
+
+// clientConn is a connection that can be closed between requests without losing one, and watched while a
+// request is served: fasthttp's handler does not notice a client that leaves.
+type clientConn struct {
+	net.Conn
+	owner   *clients
+	mu      sync.Mutex
+	rank    int
+	since   time.Time // it stands so since then
+	had     bool      // it had a request before
+	closing bool
+	last    byte          // of what was read of the request line
+	line    bool          // the request line was read
+	odd     bool          // and does not end in CRLF
+	ahead   []byte        // what the watch read
+	watched chan struct{} // closed when the watch has ended
+	ending  atomic.Bool   // the watch is to end
+}
+
+// Read gives out what came; a connection closed for being idle gives nothing, so that no request is taken
+// from it that the client believes unread.
+func (c *clientConn) Read(p []byte) (int, error) {
+	n, err := 0, error(nil)
+	if len(c.ahead) > 0 {
+		n = copy(p, c.ahead)
+		c.ahead = c.ahead[n:]
+	} else {
+		n, err = c.Conn.Read(p)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing {
+		return 0, net.ErrClosed
+	}
+	if c.rank < coming && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return 0, io.EOF // nothing came: closed without a word, where fasthttp would answer 408 to a new one
+	}
+	if n > 0 {
+		c.came(p[:n])
+	}
+	return n, err
+}
+
+// came takes note of what was read. The lock is held.
+func (c *clientConn) came(p []byte) {
+	if c.rank < coming {
+		c.rank, c.since = coming, time.Now()
+	}
+	if c.line {
+		return
+	}
+	if k := bytes.IndexByte(p, '\n'); k >= 0 {
+		if k > 0 {
+			c.last = p[k-1]
+		}
+		c.line, c.odd = true, c.last != '\r'
+	}
+	c.last = p[len(p)-1]
+}
+
+func (c *clientConn) standing() standing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return standing{c.rank, c.since}
+}
+
+// begin is called when its request is about to be served; false: its request line was odd.
+func (c *clientConn) begin() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rank = served
+	return !c.odd
+}
+
+// idle is called when its request has been answered.
+func (c *clientConn) idle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.rank, c.since, c.had, c.line, c.last = idle, time.Now(), true, false, 0
+}
+
+// give closes the connection, unless it has moved on meanwhile or something has come that was not read yet: then it
+// counts as coming. It tells whether another look is of use.
+func (c *clientConn) give(rank int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rank != rank {
+		return true
+	}
+	if rank < coming && c.pending() {
+		c.rank, c.since = coming, time.Now()
+		return true
+	}
+	c.closing = true
+	c.end()
+	return true
+}
+
+// pending tells whether bytes wait to be read. The lock is held.
+func (c *clientConn) pending() bool {
+	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
+// closeIdle closes the connection if no request is on it; a new one that had none yet only on demand, as
+// its first request is on the way. It tells whether none is.
+func (c *clientConn) closeIdle(fresh bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.rank < coming && (c.had || fresh) {
+		c.closing = true
+		c.end()
+	}
+	return c.rank < coming
+}
+
+// Close ends the connection.
+func (c *clientConn) Close() error { return c.end() }
+
+func (c *clientConn) end() error {
+	c.owner.mu.Lock()
+	delete(c.owner.conns, c)
+	c.owner.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// watch calls left when the client closes the connection. A byte that comes instead begins the next
+// request, and is kept for it.
+func (c *clientConn) watch(left func()) {
+	c.watched = make(chan struct{})
+	c.ending.Store(false)
+	c.Conn.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(c.watched)
+		var b [1]byte
+		n, err := c.Conn.Read(b[:])
+		if n > 0 {
+			c.ahead = append(c.ahead, b[0])
+		} else if !(c.ending.Load() && errors.Is(err, os.ErrDeadlineExceeded)) {
+			left()
+		}
+	}()
+}
+
+func (c *clientConn) unwatch() {
+	c.ending.Store(true)
+	c.Conn.SetReadDeadline(time.Unix(1, 0))
+	<-c.watched
+	c.Conn.SetReadDeadline(time.Time{})
+}
