Used ids are refused, the log is bounded, what never brought work gives way first

At fault: node.go arrived (forgets an id with its answer), guard.go makeRoom (idle after /ready counted as usual), package log without any bound. Now: ids of what ran or may have are refused for the longest expiry, at most 16,384 of them; connections are proven by work or a callback, and among the others the oldest goes; lines of a kind are bounded by internal/logs.

--- a/cmd/weldmast/main.go
+++ b/cmd/weldmast/main.go
@@ -10,14 +10,17 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"weldmast/internal/config"
+	"weldmast/internal/logs"
 	"weldmast/internal/node"
 	"weldmast/internal/platform"
 )
 
 func main() {
-	log.SetFlags(log.Ldate | log.Lmicroseconds)
+	log.SetFlags(0)
+	log.SetOutput(logs.New(os.Stderr, time.Now))
 	if err := run(); err != nil {
 		log.Fatalf("fatal=%q", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
 	queueSize   = 4096 // values that wait for the reducer
+	usedMost    = 8192 // ids of answered work items that are remembered, twice so many at most
 )
 
 // Whole in place of a revision asks for the whole list.
@@ -213,6 +214,9 @@
 	inbox      []any
 	items      map[uint64]*item
 	byID       map[string]*item
+	used       [2]map[string]bool // ids of work items that ran or may have, newer ones first
+	usedAt     float64            // the newer ones are the older ones from then on
+	usedFor    float64            // the longest expiry: a client could still have repeated it in good faith
 	addrs      map[string]string
 	answeredAt float64 // the last answer to a client
 	open       int     // work items whose client waits
@@ -236,6 +240,9 @@
 		stopped: make(chan struct{}), base: time.Now(), items: map[uint64]*item{}, byID: map[string]*item{},
 		addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1), watchAt: math.Inf(1),
 		discovery: discovery, revision: Whole}
+	for _, c := range s.Categories {
+		n.usedFor = max(n.usedFor, c.Expiry)
+	}
 	n.baseMS = float64(n.base.UnixMicro()) / 1000
 	n.take(known.Members)
 	n.inbox = append(n.inbox, listed{dispatch.Restored, known.Members})
@@ -373,7 +380,7 @@
 
 func (n *Node) arrived(c *Client) {
 	switch {
-	case n.byID[c.ID] != nil: // it would be a second copy: ids are new with every request
+	case n.byID[c.ID] != nil || n.used[0][c.ID] || n.used[1][c.ID]: // a second copy: ids are new with every request
 		log.Printf("bad=repeated id=%q", c.ID)
 		c.Reply <- Reply{Result: Repeated}
 		return
@@ -406,9 +413,22 @@
 	n.open--
 	n.answeredAt = n.now
 	it.client.Reply <- r
+	if r.Result == Served || r.Result == WrittenOff || r.Result == Overdue {
+		n.use(it.client.ID)
+	}
 	n.forget(it)
 }
 
+// use remembers the id of a work item that ran or may have. This guards against another client's request under the
+// same id, which workers turn away and which could have the effect again.
+func (n *Node) use(id string) {
+	if n.now >= n.usedAt || len(n.used[0]) >= usedMost {
+		n.used = [2]map[string]bool{{}, n.used[0]}
+		n.usedAt = n.now + n.usedFor
+	}
+	n.used[0][id] = true
+}
+
 func (n *Node) forget(it *item) {
 	if it.done && it.out == 0 {
 		delete(n.items, it.wi)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -142,6 +142,15 @@
 			again := &Client{ID: "a", Reply: make(chan Reply, 1)}
 			s.clients["a again"] = again
 			s.at(1020, Arrived{again})
+			s.at(1030, Callback{ID: "a", From: "w1", State: Done, Result: "r"})
+			s.clients["a after its answer"] = again
+			s.at(1040, Arrived{again})
+			for k := range 3 { // remembered for the longest expiry, then forgotten
+				s.at(3100 + 2100*float64(k))
+				s.at(s.now, s.client(fmt.Sprint("b", k), 1, 2000))
+				s.at(s.now+10, Callback{ID: fmt.Sprint("b", k), From: "w1", State: Done, Result: "r"})
+			}
+			s.at(s.now+10, s.client("a", 0, 2000))
 		}},
 		{"discovery breaks: asked again; a broken watch's list is passed over; a complete list drops", func(s *script) {
 			s.at(1100, Listing{Watch: 1, Revision: 5, Complete: true, Members: []Member{member("w9", dispatch.Up)}})
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -198,6 +198,7 @@
 		refuse(ctx, fasthttp.StatusBadRequest, "callback: no id, no from or an unknown state")
 		return
 	}
+	ctx.Conn().(*clientConn).prove()
 	c.node.Queue(node.Callback{ID: in.ID, From: in.From, State: state, Share: in.Share, Result: in.Result})
 }
 
@@ -217,6 +218,9 @@
 	select {
 	case r := <-client.Reply:
 		encode(ctx, r)
+		if r.Result != node.Repeated {
+			conn.prove()
+		}
 	case <-c.node.Done(): // it came in after the last round: nothing was sent
 		encode(ctx, node.Reply{Result: node.Deferred})
 	}
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"os"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -79,7 +80,7 @@
 	c.mu.Lock()
 	c.conns[cc] = true
 	c.mu.Unlock()
-	for c.makeRoom() {
+	for c.full() && c.makeRoom() {
 	}
 	for int(c.server.GetOpenConnectionsCount()) >= 2*c.most { // those that were closed have yet to end
 		time.Sleep(time.Millisecond)
@@ -87,22 +88,36 @@
 	return cc, nil
 }
 
-// makeRoom closes one connection beyond the limit: the longest silent of those that never sent anything, else the
-// longest idle after a request, else the one whose request has been coming in for longest. Those whose request is
-// being served stay; the node takes no more of them than half of all descriptors.
+// full tells whether there are more connections than the limit allows, after all that is there to read was read.
+func (c *clients) full() bool {
+	for tries := 0; ; tries++ {
+		c.mu.Lock()
+		full := len(c.conns) > c.most
+		c.mu.Unlock()
+		if !full || tries > 0 {
+			return full
+		}
+		runtime.Gosched()
+	}
+}
+
+// makeRoom closes one connection: of those that never brought work or a callback the one that has been so for longest,
+// be it silent, half said or idle after asking for /ready; else the longest idle, else the one whose next request has
+// been coming in for longest. Those whose request is being served stay; the node takes no more of them than half of
+// all descriptors. What is usual says what it has to say at once and so is young among the first.
 func (c *clients) makeRoom() bool {
 	conns := c.all()
-	if len(conns) <= c.most {
-		return false
-	}
-	var first *clientConn
+	var last *clientConn
 	var least standing
 	for _, conn := range conns {
-		if s := conn.standing(); s.rank < served && (first == nil || s.before(least)) {
-			first, least = conn, s
+		if s := conn.standing(); s.rank < served && (last == nil || s.before(least)) {
+			last, least = conn, s
 		}
 	}
-	return first != nil && first.give(least.rank)
+	if last != nil {
+		last.give()
+	}
+	return last != nil
 }
 
 // Close ends the listener.
@@ -113,9 +128,9 @@
 
 // How near a connection is to being served; those lower down give way first.
 const (
-	silent = iota
-	idle
-	coming
+	unproven = iota // it never brought work or a callback
+	idle            // it did
+	coming          // its next request is coming in
 	served
 )
 
@@ -134,9 +149,11 @@
 	net.Conn
 	owner   *clients
 	mu      sync.Mutex
-	rank    int
-	since   time.Time // it stands so since then
-	had     bool      // it had a request before
+	since   time.Time // it was accepted, answered, or its next request began
+	begun   bool      // something of a request was read, or waits to be
+	serving bool
+	used    bool // it had a request
+	proven  bool
 	closing bool
 	last    byte          // of what was read of the request line
 	line    bool          // the request line was read
@@ -161,7 +178,7 @@
 	if c.closing {
 		return 0, net.ErrClosed
 	}
-	if c.rank < coming && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+	if !c.begun && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, io.EOF // nothing came: closed without a word, where fasthttp would answer 408 to a new one
 	}
 	if n > 0 {
@@ -170,11 +187,17 @@
 	return n, err
 }
 
+// moved takes note that a request is coming in. The lock is held.
+func (c *clientConn) moved() {
+	if c.proven && !c.begun {
+		c.since = time.Now()
+	}
+	c.begun = true
+}
+
 // came takes note of what was read. The lock is held.
 func (c *clientConn) came(p []byte) {
-	if c.rank < coming {
-		c.rank, c.since = coming, time.Now()
-	}
+	c.moved()
 	if c.line {
 		return
 	}
@@ -190,14 +213,30 @@
 func (c *clientConn) standing() standing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return standing{c.rank, c.since}
+	s := standing{unproven, c.since}
+	switch {
+	case c.serving:
+		s.rank = served
+	case c.proven && c.begun:
+		s.rank = coming
+	case c.proven:
+		s.rank = idle
+	}
+	return s
+}
+
+// prove is called when it has brought work or a callback.
+func (c *clientConn) prove() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.proven = true
 }
 
 // begin is called when its request is about to be served; false: its request line was odd.
 func (c *clientConn) begin() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rank = served
+	c.serving, c.begun = true, true
 	return !c.odd
 }
 
@@ -205,24 +244,22 @@
 func (c *clientConn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rank, c.since, c.had, c.line, c.last = idle, time.Now(), true, false, 0
+	c.since, c.used, c.serving, c.begun, c.line, c.last = time.Now(), true, false, false, false, 0
 }
 
-// give closes the connection, unless it has moved on meanwhile or something has come that was not read yet: then it
-// counts as coming. It tells whether another look is of use.
-func (c *clientConn) give(rank int) bool {
+// give closes the connection, unless its request is served meanwhile, or it was idle and something has come that was
+// not read yet: then it counts as coming.
+func (c *clientConn) give() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rank != rank {
-		return true
-	}
-	if rank < coming && c.pending() {
-		c.rank, c.since = coming, time.Now()
-		return true
+	switch {
+	case c.serving:
+	case c.proven && !c.begun && c.pending():
+		c.moved()
+	default:
+		c.closing = true
+		c.end()
 	}
-	c.closing = true
-	c.end()
-	return true
 }
 
 // pending tells whether bytes wait to be read. The lock is held.
@@ -241,14 +278,14 @@
 
 // closeIdle closes the connection if no request is on it; a new one that had none yet only on demand, as
 // its first request is on the way. It tells whether none is.
-func (c *clientConn) closeIdle(fresh bool) bool {
+func (c *clientConn) closeIdle(unused bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.rank < coming && (c.had || fresh) {
+	if !c.begun && (c.used || unused) {
 		c.closing = true
 		c.end()
 	}
-	return c.rank < coming
+	return !c.begun
 }
 
 // Close ends the connection.
