Connections to workers are kept no longer than those that broke or were closed had been idle

Tested: idle times of the connections at each request: under 140 ms 7 of 124 broke, from 150 to 500 ms 45 of 113, beyond 550 ms the end of the connection was seen before use; after the trouble none. The settings promise 15 s. So workers end them early and it shows late; not the fault of one worker: all nine alike. At fault: workers.go get, which trusted half the settings' time and a look at the socket. Now: a break under a request teaches half of its idle time, a connection found closed a quarter, for all workers; it grows back by doubling over the settings' time. Test: TestForgotten: one break in ten requests, several without.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -1079,6 +1079,49 @@
 	w.check(strings.Repeat("new\nclient: 200\nclosed\n", 3))
 }
 
+// TestForgotten: a connection that was idle breaks under its next request, though nothing showed and the settings
+// promise it for long; from then on none is used that was idle for half as long.
+func TestForgotten(t *testing.T) {
+	w := newWorld(t)
+	forgetful := func(name string) string {
+		l := w.port()
+		w.t.Cleanup(func() { l.Close() })
+		go func() {
+			for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+				in := bufio.NewReader(c)
+				go func() {
+					defer c.Close()
+					for first := true; ; first = false {
+						r, err := http.ReadRequest(in)
+						if err != nil {
+							return
+						}
+						if io.Copy(io.Discard, r.Body); !first {
+							w.note("broke")
+							return
+						}
+						io.WriteString(c, "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n")
+						w.back(r.Header.Get("X-Request-Id"), name, "done", "")
+					}
+				}()
+			}
+		}()
+		return l.Addr().String()
+	}
+	w.tell(list(1, true, line("w1", forgetful("w1"), "in_service"), line("w2", forgetful("w2"), "in_service")))
+	w.start()
+	c := w.dial()
+	for k := range 10 {
+		w.note("%s", c.ask(request(fmt.Sprint(k), "/plan/x", "")))
+		time.Sleep(100 * time.Millisecond)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if seen := w.log.String(); strings.Count(seen, "broke\n") != 1 || strings.Count(seen, "200\n") != 10 {
+		t.Errorf("wanted one break and ten answers:\n%s", seen)
+	}
+}
+
 // TestBadConfig: the start ends, and names the key.
 func TestBadConfig(t *testing.T) {
 	var all strings.Builder
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"log"
+	"math"
 	"net"
 	"net/url"
 	"slices"
@@ -73,16 +74,20 @@
 	net.Conn
 	addr  string
 	in    *bufio.Reader
-	since time.Time // when it became idle
+	since time.Time     // when it became idle
+	rest  time.Duration // for how long it had been idle when it was taken; 0: new
 }
 
 type workers struct {
 	node    *node.Node
 	dialer  net.Dialer
-	idleFor time.Duration
+	idleFor time.Duration // connections are used again after being idle for so long, at most
+	idle2x  time.Duration // what was learned of less doubles in this time
 	most    int
 	copies  bool // second copies are allowed
 	mu      sync.Mutex
+	learned time.Duration // as idleFor, by connections that workers ended; as of learnedAt
+	learnAt time.Time
 	open    int
 	idle    map[string][]*workerConn // longest idle first
 	running sync.WaitGroup
@@ -91,7 +96,8 @@
 func newWorkers(n *node.Node, l settings.Links, copies bool, most int) *workers {
 	ms := float64(time.Millisecond)
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
-		idleFor: time.Duration(l.Idle / 2 * ms), most: most, copies: copies, idle: map[string][]*workerConn{}}
+		idleFor: time.Duration(l.Idle / 2 * ms), idle2x: time.Duration(l.Idle * ms), most: most,
+		learned: time.Duration(l.Idle / 2 * ms), copies: copies, idle: map[string][]*workerConn{}}
 }
 
 // errTooMany: all connections to workers that the limit allows are in use. The hand-off could not connect.
@@ -108,8 +114,11 @@
 		c := list[len(list)-1]
 		w.idle[addr] = list[:len(list)-1]
 		w.mu.Unlock()
-		if time.Since(c.since) < w.idleFor && c.quiet() {
-			return c, nil
+		if c.rest = time.Since(c.since); c.rest < w.usable() {
+			if c.quiet() {
+				return c, nil
+			}
+			w.learn(c.rest / 4) // it was closed some time before
 		}
 		w.drop(c)
 	}
@@ -127,6 +136,33 @@
 	return &workerConn{Conn: conn, addr: addr, in: bufio.NewReader(conn)}, nil
 }
 
+// learn takes note that a connection idle for twice as long as this is not to be relied on. This guards against
+// workers, or a path to them, that end idle connections long before the time in the settings: a request that is
+// written to one then ends as a reset and may count as run.
+func (w *workers) learn(most time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if most < w.usableNow() {
+		log.Printf("idle=%s was=%s", most, w.usableNow())
+		w.learned, w.learnAt = most, time.Now()
+	}
+}
+
+// usable is for how long a connection may have been idle when it is used again.
+func (w *workers) usable() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.usableNow()
+}
+
+func (w *workers) usableNow() time.Duration {
+	if w.learned == w.idleFor {
+		return w.idleFor
+	}
+	grown := math.Exp2(float64(time.Since(w.learnAt)) / float64(w.idle2x))
+	return time.Duration(min(float64(w.learned)*grown, float64(w.idleFor)))
+}
+
 // quiet tells that nothing came on an idle connection: neither its end nor bytes nobody asked for.
 func (c *workerConn) quiet() bool {
 	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
@@ -198,7 +234,7 @@
 		}
 		w.mu.Lock()
 		for addr, list := range w.idle {
-			for len(list) > 0 && time.Since(list[0].since) >= w.idleFor {
+			for len(list) > 0 && time.Since(list[0].since) >= w.usableNow() {
 				list[0].Close()
 				w.open--
 				list = list[1:]
@@ -252,6 +288,14 @@
 		a.end(dispatch.ConnectFailed, err)
 		return
 	}
+	broke := func() {
+		a.mu.Lock()
+		given := a.given
+		a.mu.Unlock()
+		if conn.rest > 0 && !given {
+			a.w.learn(conn.rest / 2)
+		}
+	}
 	a.mu.Lock()
 	if a.given {
 		a.mu.Unlock()
@@ -265,6 +309,7 @@
 	conn.SetDeadline(time.Now().Add(time.Duration(a.s.Patience*1e6) + dropWithin))
 	text := a.s.Message.(*message).encode(a.s.Addr, a.s.Patience)
 	if n, err := conn.Write(text); n < len(text) {
+		broke()
 		a.release(conn, false)
 		a.end(dispatch.ConnectFailed, err)
 		return
@@ -278,6 +323,7 @@
 	status := r.StatusCode()
 	switch {
 	case err != nil:
+		broke()
 		a.end(dispatch.Reset, err)
 	case status == fasthttp.StatusAccepted:
 		a.accepted()
