A cold worker's answers teach its own speed beside its coldness, not its kind's

Tested: running time over hint beside the module's expectation at each answer of a cold worker: 1.55 to 4.1 ran, 3.1 to 5.7 expected, in 17 of 18 too high, by up to 2.5; warm ones agree. At fault: judge: coldness went into the worker's own slowness, which cost counts beside the warmth, and by 5% an answer into its kind's, which all warm ones of the kind share; max(0, slowness) in cost hid that it warms faster than it must. Now: an answer counts as if the worker were warm, a cold one does not teach its kind, and its own record may lift it up to the speed of a warm one. The budget of the cold rule is as before.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -368,13 +368,13 @@
 			return
 		}
 		// By logarithms, so that work far costlier than its hint moves the speed by little.
-		x := math.Log(max(run, d.f.twoGrains/4) / it.Hint)
+		x := math.Log(max(run, d.f.twoGrains/4) * d.warmth(w) / it.Hint)
 		if !k.known {
 			k.slow, k.known = x, true
 			return
 		}
 		w.slow, w.slowAt = d.slowness(w)*(1-workerPace)+(x-k.slow)*workerPace, d.now
-		k.slow += (x - k.slow) * kindPace
+		k.slow += (x - k.slow) * kindPace * math.Floor(d.warmth(w)) // cold ones tell nothing of their kind
 	case Full:
 		d.fail(w)        // it was taken to have room: what fills it is unseen, or it refuses everything
 		if k.lane == 1 { // slow workers refuse: let some large work into the fast lane
@@ -580,9 +580,9 @@
 	return d.f.startShare + d.f.warming*max(age, 0)
 }
 
-// cost is the running time to expect of an item on a worker.
+// cost is the running time to expect of an item on a worker. A cold one may warm faster than it must.
 func (d *Dispatcher) cost(it *item, w *worker) float64 {
-	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(0, d.slowness(w)))/d.warmth(w) +
+	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(d.slowness(w), math.Log(d.warmth(w))))/d.warmth(w) +
 		max(0, w.drained-d.now, 2*d.queue(&d.kinds[w.Kind]))
 }
 
