Told to stop, idle client connections close when no more work is taken, not before

Probed besides: why work is given up there: never as excess, nearly always as too late with 5 of 9 workers up and hardly one ready; left as it is. At fault: clients.go drain, which closed idle connections with the order to stop.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -857,29 +857,38 @@
 	w := newWorld(t)
 	w.tell(list(1, true, line("w1", w.worker("w1", nil), "in_service")))
 	w.start()
-	idle, busy, fresh := w.dial(), w.dial(), w.dial()
+	idle, kept, busy, fresh := w.dial(), w.dial(), w.dial(), w.dial()
 	io.WriteString(busy, request("a", "/order/x", ""))
 	w.await("w1: a", 1)
 	w.back("a", "w1", "started", "")
+	w.note("kept: %s", kept.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"))
 	w.note("idle: %s", idle.ask("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"))
 	w.must(w.cmd.Process.Signal(syscall.SIGTERM))
 	w.until("not ready", func() bool { return w.get("/ready") == 503 })
-	w.note("idle: %s", idle.answer())
+	io.WriteString(kept, request("k", "/order/x", ""))
+	w.await("w1: k", 1)
+	w.note("k: %d", w.back("k", "w1", "done", "k"))
+	w.note("kept: %s", kept.answer())
 	io.WriteString(fresh, request("b", "/order/x", ""))
 	w.await("w1: b", 1)
 	w.note("b: %d", w.back("b", "w1", "done", "b"))
 	w.note("fresh: %s", fresh.answer())
-	time.Sleep(600 * time.Millisecond)
+	w.note("idle: %s", idle.answer())
+	time.Sleep(100 * time.Millisecond)
 	w.note("too late: %s", w.dial().ask(request("c", "/order/x", "")))
 	w.note("a: %d", w.back("a", "w1", "done", "a"))
 	w.note("busy: %s", busy.answer())
 	w.note("exit: %v", w.cmd.Wait())
 	w.check(`w1: a
+kept: 200 serving
 idle: 200 serving
-idle: no answer
+w1: k
+k: 200
+kept: 200 k Connection: close
 w1: b
 b: 200
 fresh: 200 b Connection: close
+idle: no answer
 too late: 503 Connection: close
 a: 200
 busy: 200 a Connection: close
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -53,8 +53,10 @@
 	Watch(number int, addr string, after int64)
 	// Tell sends a message to a sibling, or to all for -1.
 	Tell(to int, data []byte)
-	// Drain makes clients go elsewhere: no connection is kept beyond its present request.
+	// Drain makes clients go elsewhere: no connection is kept beyond its next answer.
 	Drain()
+	// Dismiss closes the connections that wait for a request.
+	Dismiss()
 }
 
 // Attempt is a hand-off that the front has under way.
@@ -231,6 +233,7 @@
 	listed     bool    // discovery itself has spoken
 	startAt    float64
 	drainAt    float64
+	dismissed  bool // no more work is taken
 }
 
 // New makes a node that serves once it is run; known is the list as it last was, perhaps old. Its revision says
@@ -315,7 +318,7 @@
 			at = min(at, t)
 		}
 	case Draining:
-		if n.settled() {
+		if !n.dismissed {
 			at = min(at, n.drainAt+acceptAfter)
 		}
 	}
@@ -384,7 +387,7 @@
 		log.Printf("bad=repeated id=%q", c.ID)
 		c.Reply <- Reply{Result: Repeated}
 		return
-	case n.Phase() == Draining && n.now >= n.drainAt+acceptAfter: // others will take it at once
+	case n.dismissed: // others will take it at once
 		c.Reply <- Reply{Result: Deferred}
 		return
 	case n.open >= n.maxOpen: // as the settings say, or no socket is left for one more client that waits
@@ -554,7 +557,12 @@
 			n.enter(Serving)
 		}
 	case Draining:
-		if n.settled() && n.now >= n.drainAt+acceptAfter {
+		if !n.dismissed && n.now >= n.drainAt+acceptAfter {
+			// Not before: a client whose connection closes would look for a dispatcher where there may be none.
+			n.dismissed = true
+			n.front.Dismiss()
+		}
+		if n.dismissed && n.settled() {
 			n.enter(Stopped)
 		}
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -35,6 +35,7 @@
 }
 func (s *script) Tell(to int, data []byte) { s.note("tell %d %x", to, data) }
 func (s *script) Drain()                   { s.note("drain") }
+func (s *script) Dismiss()                 { s.note("dismiss") }
 
 // at lets values come in at a time, after all that is due before.
 func (s *script) at(now float64, values ...any) {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -76,9 +76,8 @@
 	}
 }
 
-// drain closes connections that wait for a request, and has the others closed with their answer.
-func (c *clients) drain() {
-	c.draining.Store(true)
+// dismiss closes connections that wait for a request.
+func (c *clients) dismiss() {
 	for _, conn := range c.all() {
 		conn.closeIdle(false)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -81,8 +81,11 @@
 // Tell sends a message to siblings.
 func (p *Platform) Tell(to int, data []byte) { p.siblings.tell(to, data) }
 
-// Drain sends clients elsewhere.
-func (p *Platform) Drain() { p.clients.drain() }
+// Drain has connections closed with their next answer.
+func (p *Platform) Drain() { p.clients.draining.Store(true) }
+
+// Dismiss closes connections that wait for a request.
+func (p *Platform) Dismiss() { p.clients.dismiss() }
 
 // Close lets answers under way leave, for a short time, and ends everything.
 func (p *Platform) Close() {
