--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -1131,6 +1131,27 @@
 	}
 }
 
+// TestDied: connections that ended with their worker teach nothing of how long others may idle.
+func TestDied(t *testing.T) {
+	w := newWorld(t)
+	l := w.port()
+	s := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
+		accept(job{out: out})
+		w.back(r.Header.Get("X-Request-Id"), "w1", "done", "")
+	})}
+	go s.Serve(l)
+	w.tell(list(1, true, line("w1", l.Addr().String(), "in_service")))
+	w.start()
+	c := w.dial()
+	w.note("client: %s", c.ask(request("a", "/plan/x", "")))
+	s.Close()
+	w.note("client: %s", c.ask(request("b", "/plan/x", "")))
+	w.check("client: 200\nclient: 503 Retry-After")
+	if log := w.output.String(); strings.Contains(log, " idle=") || !strings.Contains(log, "refused") {
+		t.Error("it learned from a worker that died")
+	}
+}
+
 // TestBadConfig: the start ends, and names the key.
 func TestBadConfig(t *testing.T) {
 	var all strings.Builder
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -105,6 +105,7 @@
 
 // get takes an idle connection that is fit for use, or opens one.
 func (w *workers) get(ctx context.Context, addr string) (*workerConn, error) {
+	gone := w.idleFor // the least time after which one was found closed
 	for {
 		w.mu.Lock()
 		list := w.idle[addr]
@@ -118,7 +119,7 @@
 			if c.quiet() {
 				return c, nil
 			}
-			w.learn(c.rest / 4) // it was closed some time before
+			gone = min(gone, c.rest)
 		}
 		w.drop(c)
 	}
@@ -133,6 +134,9 @@
 		w.closed()
 		return nil, err
 	}
+	if gone < w.idleFor { // by a worker that lives: one that died closes them all, however long they were idle
+		w.learn(gone / 4) // it was closed some time before it was found so
+	}
 	return &workerConn{Conn: conn, addr: addr, in: bufio.NewReader(conn)}, nil
 }
 
