A trailer after a chunked body is refused: it changed the id that went on to the worker

Seen: a chunked request with the trailer 'X-Request-Id: other' reached the worker as 'A.b-9_%41 other', and with another cost hint. At fault: workers.go newMessage copies the header as it is after the body; clients.go handle looked at the raw head only, which has no trailers. Test: TestBadInput, trailer.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -760,6 +760,8 @@
 		{"chunk no number", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nbody\r\n0\r\n\r\n"},
 		{"chunk too long", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n"},
 		{"chunk huge", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n"},
+		{"trailer", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"0\r\nX-Request-Id: b\r\n\r\n"},
 		{"first line with LF", strings.Replace(request("a", "/plan/x", ""), "\r\n", "\n", 1)},
 		{"a header with LF", strings.Replace(request("a", "/plan/x", ""), "x\r\nX-R", "x\nX-R", 1)},
 		{"lone CR", request("a", "/plan/x", "X-Extras: a\rb\r\n")},
@@ -808,6 +810,7 @@
 chunk no number: 400
 chunk too long: 400
 chunk huge: 413
+trailer: 400
 first line with LF: 400
 a header with LF: 400
 lone CR: 400
