--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -774,7 +774,10 @@
 		{"header too large", request("a", "/plan/x", "X-Extras: "+strings.Repeat("a", 20000)+"\r\n")},
 		{"callback no JSON", "POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n{"},
 	} {
-		w.note("%s: %s", c.name, strings.TrimSuffix(w.dial().ask(c.text), " Connection: close"))
+		answer, closed := strings.CutSuffix(w.dial().ask(c.text), " Connection: close")
+		if w.note("%s: %s", c.name, answer); closed != strings.HasPrefix(answer, "4") {
+			w.note("closed: %v", closed)
+		}
 	}
 	to, err := net.ResolveUDPAddr("udp", w.peerAt)
 	w.must(err)
