Read once more: guard, worker connections and a test written simpler; behaviour as before

One way to tell how long a connection may idle in place of two and a special case; a break is noted where the connection is let go; full() no longer yields in a loop; end() was Close(); a head stood ten times in a test.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -730,6 +730,7 @@
 	w.tell(list(1, true, `{"id":"no address"}`, `17`, line("", "127.0.0.1:1", "in_service"),
 		line("w0", "127.0.0.1:1", "asleep"), line("w1", w.finishing("w1"), "in_service")))
 	w.start()
+	const head = "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\n"
 	for _, c := range []struct{ name, text string }{
 		{"no HTTP", "hello\r\n\r\n"},
 		{"GET", "GET /plan/x HTTP/1.1\r\nHost: x\r\n\r\n"},
@@ -748,19 +749,19 @@
 		{"deadline twice", request("a", "/plan/x", "X-Deadline: 4\r\nX-Deadline: 4\r\n")},
 		{"id twice", request("a", "/plan/x", "x-request-id: b\r\n")},
 		{"id empty", request("", "/plan/x", "")},
-		{"two framings", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 60\r\n" +
+		{"two framings", head + "Content-Length: 60\r\n" +
 			"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + request("hidden", "/plan/x", "")},
-		{"two framings the other way", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\n" +
+		{"two framings the other way", head +
 			"Transfer-Encoding: chunked\r\ncontent-length: 60\r\n\r\n0\r\n\r\n" + request("hidden", "/plan/x", "")},
 		{"identity", request("a", "/plan/x", "Transfer-Encoding: identity\r\n")},
 		{"length twice", request("a", "/plan/x", "Content-Length: 4\r\n")},
-		{"length signed", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: +4\r\n\r\nbody"},
-		{"length below zero", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: -4\r\n\r\nbody"},
-		{"length huge", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 99999999999999999999\r\n\r\n"},
-		{"chunk no number", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nbody\r\n0\r\n\r\n"},
-		{"chunk too long", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n"},
-		{"chunk huge", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\nfffffff\r\n"},
-		{"trailer", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nTransfer-Encoding: chunked\r\n\r\n" +
+		{"length signed", head + "Content-Length: +4\r\n\r\nbody"},
+		{"length below zero", head + "Content-Length: -4\r\n\r\nbody"},
+		{"length huge", head + "Content-Length: 99999999999999999999\r\n\r\n"},
+		{"chunk no number", head + "Transfer-Encoding: chunked\r\n\r\nbody\r\n0\r\n\r\n"},
+		{"chunk too long", head + "Transfer-Encoding: chunked\r\n\r\n2\r\nbody\r\n0\r\n\r\n"},
+		{"chunk huge", head + "Transfer-Encoding: chunked\r\n\r\nfffffff\r\n"},
+		{"trailer", head + "Transfer-Encoding: chunked\r\n\r\n" +
 			"0\r\nX-Request-Id: b\r\n\r\n"},
 		{"first line with LF", strings.Replace(request("a", "/plan/x", ""), "\r\n", "\n", 1)},
 		{"a header with LF", strings.Replace(request("a", "/plan/x", ""), "x\r\nX-R", "x\nX-R", 1)},
@@ -770,7 +771,7 @@
 		{"blank before the colon", request("a", "/plan/x", "X-Extras : a\r\n")},
 		{"HTTP/2.0", strings.Replace(request("a", "/plan/x", ""), "HTTP/1.1", "HTTP/2.0", 1)},
 		{"path no path", request("a", "http://x/plan/x", "")},
-		{"too large", "POST /plan/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: a\r\nContent-Length: 65537\r\n\r\n"},
+		{"too large", head + "Content-Length: 65537\r\n\r\n"},
 		{"header too large", request("a", "/plan/x", "X-Extras: "+strings.Repeat("a", 20000)+"\r\n")},
 		{"callback no JSON", "POST /callback HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\n\r\n{"},
 	} {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -1,4 +1,4 @@
-// Package config owns what the program is told when it starts: it alone reads the environment and the
+// Package config owns what the program is told when it starts and at a reload: it alone reads the environment and the
 // JSON file, checks both and fills in what may be left out. It must never open a socket or decide
 // anything, and nothing else may look at the environment.
 package config
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -368,7 +368,7 @@
 			return
 		}
 		// By logarithms, so that work far costlier than its hint moves the speed by little.
-		x := math.Log(max(run, d.f.twoGrains/4) * d.warmth(w) / it.Hint)
+		x := math.Log(max(run, d.f.twoGrains/4) * d.warmth(w) / it.Hint) // as if warm
 		if !k.known {
 			k.slow, k.known = x, true
 			return
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -161,7 +161,7 @@
 			s.at(2020, s.client("b", 0, 300))
 			s.at(2400)
 		}},
-		{"discovery moves: its whole list counts, until then what was known; the old watch tells nothing more", func(s *script) {
+		{"discovery moves: its whole list counts, until then what was known, and nothing of the old watch", func(s *script) {
 			s.at(1100, Listing{Watch: 1, Revision: 50, Complete: true, Members: []Member{member("w1", dispatch.Up)}})
 			s.at(1110, Moved{"there"}, Listing{Watch: 1, Revision: 51, Complete: true}, Broken{1})
 			s.at(1120, s.client("a", 0, 2000))
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -55,8 +55,8 @@
 		return nil, err
 	}
 	c := &clients{node: n, names: o.Names, expiries: o.Expiries, listener: l, most: most, conns: map[*clientConn]bool{}}
-	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread, Concurrency: 2*most + 1, // closed ones may still be ending
-
+	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread,
+		Concurrency: 2*most + 1, // closed ones may still be ending
 		ReadTimeout: readWithin, WriteTimeout: readWithin, IdleTimeout: clientIdle,
 		MaxRequestBodySize: bodyMost, ReadBufferSize: headMost, DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: serverLog{},
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -1,6 +1,6 @@
-// This file guards the listener: it owns the connections of clients and callbacks, how many may stand, how long one may
-// stay silent or half said, and which heads are no requests. It must never close a connection whose request is being
-// served, nor look at what a request asks for.
+// This file guards the listener: it owns the connections of clients and callbacks, how many may stand and which of
+// them give way, and which heads are no requests. It must never close a connection whose request is being served to
+// make room, nor look at what a request asks for.
 
 package platform
 
@@ -21,8 +21,10 @@
 )
 
 // once are the headers that a request may hold but once: with two, this program and a worker could read it differently.
-var once = []string{"Content-Length", "Transfer-Encoding", "Host", "X-Request-Id", "X-Tenant", "X-Deadline",
-	"X-Cost-Hint", "X-Retry", "X-Extras"}
+var once = [...]string{length: "Content-Length", coding: "Transfer-Encoding", 2: "Host", "X-Request-Id", "X-Tenant",
+	"X-Deadline", "X-Cost-Hint", "X-Retry", "X-Extras"}
+
+const length, coding = 0, 1 // where those stand that frame the body
 
 // headFault tells why a head is not one that every reader takes alike, or nothing. fasthttp is more lenient: it takes
 // lone line feeds, folded lines, blanks in names and Content-Length beside Transfer-Encoding, whose body may hide
@@ -31,7 +33,7 @@
 	if v := string(h.Protocol()); v != "HTTP/1.1" && v != "HTTP/1.0" {
 		return "not HTTP/1.1 or 1.0"
 	}
-	var seen [16]bool
+	var seen [len(once)]bool
 	for rest := h.RawHeaders(); len(rest) > 0; {
 		line, next, ended := bytes.Cut(rest, []byte("\r\n"))
 		if !ended {
@@ -58,19 +60,19 @@
 				return o + " stands there twice"
 			}
 			seen[k] = true
-			if k == 1 && !strings.EqualFold(strings.TrimSpace(string(value)), "chunked") {
+			if k == coding && !strings.EqualFold(strings.TrimSpace(string(value)), "chunked") {
 				return "Transfer-Encoding is not chunked"
 			}
 		}
 	}
-	if seen[0] && seen[1] {
+	if seen[length] && seen[coding] {
 		return "both Content-Length and Transfer-Encoding"
 	}
 	return ""
 }
 
-// Accept makes the clients the listener that fasthttp serves. It waits for a client only: who is owed an answer or a
-// look at /ready must get through a flood of others.
+// Accept makes the clients the listener that fasthttp serves. It never waits for another client's request to end: who
+// is owed an answer or a look at /ready must get through a flood of others.
 func (c *clients) Accept() (net.Conn, error) {
 	conn, err := c.listener.Accept()
 	if err != nil {
@@ -80,7 +82,10 @@
 	c.mu.Lock()
 	c.conns[cc] = true
 	c.mu.Unlock()
-	for c.full() && c.makeRoom() {
+	if c.full() {
+		runtime.Gosched() // what is there to read is read first
+		for c.full() && c.makeRoom() {
+		}
 	}
 	for int(c.server.GetOpenConnectionsCount()) >= 2*c.most { // those that were closed have yet to end
 		time.Sleep(time.Millisecond)
@@ -88,17 +93,11 @@
 	return cc, nil
 }
 
-// full tells whether there are more connections than the limit allows, after all that is there to read was read.
+// full tells whether there are more connections than the limit allows.
 func (c *clients) full() bool {
-	for tries := 0; ; tries++ {
-		c.mu.Lock()
-		full := len(c.conns) > c.most
-		c.mu.Unlock()
-		if !full || tries > 0 {
-			return full
-		}
-		runtime.Gosched()
-	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.conns) > c.most
 }
 
 // makeRoom closes one connection: of those that never brought work or a callback the one that has been so for longest,
@@ -106,10 +105,9 @@
 // been coming in for longest. Those whose request is being served stay; the node takes no more of them than half of
 // all descriptors. What is usual says what it has to say at once and so is young among the first.
 func (c *clients) makeRoom() bool {
-	conns := c.all()
 	var last *clientConn
 	var least standing
-	for _, conn := range conns {
+	for _, conn := range c.all() {
 		if s := conn.standing(); s.rank < served && (last == nil || s.before(least)) {
 			last, least = conn, s
 		}
@@ -258,7 +256,7 @@
 		c.moved()
 	default:
 		c.closing = true
-		c.end()
+		c.Close()
 	}
 }
 
@@ -283,15 +281,13 @@
 	defer c.mu.Unlock()
 	if !c.begun && (c.used || unused) {
 		c.closing = true
-		c.end()
+		c.Close()
 	}
 	return !c.begun
 }
 
 // Close ends the connection.
-func (c *clientConn) Close() error { return c.end() }
-
-func (c *clientConn) end() error {
+func (c *clientConn) Close() error {
 	c.owner.mu.Lock()
 	delete(c.owner.conns, c)
 	c.owner.mu.Unlock()
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -82,12 +82,11 @@
 	node    *node.Node
 	dialer  net.Dialer
 	idleFor time.Duration // connections are used again after being idle for so long, at most
-	idle2x  time.Duration // what was learned of less doubles in this time
 	most    int
 	copies  bool // second copies are allowed
 	mu      sync.Mutex
-	learned time.Duration // as idleFor, by connections that workers ended; as of learnedAt
-	learnAt time.Time
+	learned time.Duration // the same by connections that workers ended, as of learnAt
+	learnAt time.Time     // zero: never
 	open    int
 	idle    map[string][]*workerConn // longest idle first
 	running sync.WaitGroup
@@ -96,8 +95,8 @@
 func newWorkers(n *node.Node, l settings.Links, copies bool, most int) *workers {
 	ms := float64(time.Millisecond)
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
-		idleFor: time.Duration(l.Idle / 2 * ms), idle2x: time.Duration(l.Idle * ms), most: most,
-		learned: time.Duration(l.Idle / 2 * ms), copies: copies, idle: map[string][]*workerConn{}}
+		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), most: most, copies: copies,
+		idle: map[string][]*workerConn{}}
 }
 
 // errTooMany: all connections to workers that the limit allows are in use. The hand-off could not connect.
@@ -114,8 +113,9 @@
 		}
 		c := list[len(list)-1]
 		w.idle[addr] = list[:len(list)-1]
+		usable := w.usable()
 		w.mu.Unlock()
-		if c.rest = time.Since(c.since); c.rest < w.usable() {
+		if c.rest = time.Since(c.since); c.rest < usable {
 			if c.quiet() {
 				return c, nil
 			}
@@ -140,30 +140,22 @@
 	return &workerConn{Conn: conn, addr: addr, in: bufio.NewReader(conn)}, nil
 }
 
-// learn takes note that a connection idle for twice as long as this is not to be relied on. This guards against
-// workers, or a path to them, that end idle connections long before the time in the settings: a request that is
-// written to one then ends as a reset and may count as run.
+// learn takes note of how long a connection may idle at most. This guards against workers, or a path to them, that
+// end idle connections long before the time in the settings: a request that is written to one then ends as a reset
+// and may count as run.
 func (w *workers) learn(most time.Duration) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if most < w.usableNow() {
-		log.Printf("idle=%s was=%s", most, w.usableNow())
+	if was := w.usable(); most < was {
+		log.Printf("idle=%s was=%s", most, was)
 		w.learned, w.learnAt = most, time.Now()
 	}
 }
 
-// usable is for how long a connection may have been idle when it is used again.
+// usable is for how long a connection may have been idle when it is used again. What was learned doubles over the
+// settings' idle time. The lock is held.
 func (w *workers) usable() time.Duration {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return w.usableNow()
-}
-
-func (w *workers) usableNow() time.Duration {
-	if w.learned == w.idleFor {
-		return w.idleFor
-	}
-	grown := math.Exp2(float64(time.Since(w.learnAt)) / float64(w.idle2x))
+	grown := math.Exp2(float64(time.Since(w.learnAt)) / float64(2*w.idleFor))
 	return time.Duration(min(float64(w.learned)*grown, float64(w.idleFor)))
 }
 
@@ -238,7 +230,7 @@
 		}
 		w.mu.Lock()
 		for addr, list := range w.idle {
-			for len(list) > 0 && time.Since(list[0].since) >= w.usableNow() {
+			for len(list) > 0 && time.Since(list[0].since) >= w.usable() {
 				list[0].Close()
 				w.open--
 				list = list[1:]
@@ -292,14 +284,6 @@
 		a.end(dispatch.ConnectFailed, err)
 		return
 	}
-	broke := func() {
-		a.mu.Lock()
-		given := a.given
-		a.mu.Unlock()
-		if conn.rest > 0 && !given {
-			a.w.learn(conn.rest / 2)
-		}
-	}
 	a.mu.Lock()
 	if a.given {
 		a.mu.Unlock()
@@ -313,8 +297,7 @@
 	conn.SetDeadline(time.Now().Add(time.Duration(a.s.Patience*1e6) + dropWithin))
 	text := a.s.Message.(*message).encode(a.s.Addr, a.s.Patience)
 	if n, err := conn.Write(text); n < len(text) {
-		broke()
-		a.release(conn, false)
+		a.release(conn, err, false)
 		a.end(dispatch.ConnectFailed, err)
 		return
 	}
@@ -323,11 +306,10 @@
 	a.mu.Unlock()
 	var r fasthttp.Response
 	err = r.ReadLimitBody(conn.in, answerMost)
-	a.release(conn, err == nil && !r.ConnectionClose())
+	a.release(conn, err, !r.ConnectionClose())
 	status := r.StatusCode()
 	switch {
 	case err != nil:
-		broke()
 		a.end(dispatch.Reset, err)
 	case status == fasthttp.StatusAccepted:
 		a.accepted()
@@ -340,16 +322,19 @@
 	}
 }
 
-// release ends the use of the connection; one that a giving up has closed is not kept.
-func (a *attempt) release(c *workerConn, keep bool) {
+// release ends the use of the connection; one that broke or that a giving up has closed is not kept.
+func (a *attempt) release(c *workerConn, err error, keep bool) {
 	a.mu.Lock()
 	a.conn = nil
-	keep = keep && !a.given
+	given := a.given
 	a.mu.Unlock()
-	if keep {
+	if keep && err == nil && !given {
 		a.w.put(c)
-	} else {
-		a.w.drop(c)
+		return
+	}
+	a.w.drop(c)
+	if err != nil && !given && c.rest > 0 {
+		a.w.learn(c.rest / 2)
 	}
 }
 
