--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -1081,8 +1081,8 @@
 	}
 }
 
-// TestStale: a connection that the worker has closed meanwhile is not used again; else exclusive work would be
-// written off, as it may have run.
+// TestStale: a connection that the worker has closed meanwhile is not used again, else exclusive work would be
+// written off, as it may have run; and it teaches how long others may idle.
 func TestStale(t *testing.T) {
 	w := newWorld(t)
 	w.tell(list(1, true, line("w1", w.idling(20*time.Millisecond), "in_service")))
@@ -1093,6 +1093,9 @@
 		w.await("closed", k+1)
 	}
 	w.check(strings.Repeat("new\nclient: 200\nclosed\n", 3))
+	if !strings.Contains(w.output.String(), " idle=") {
+		t.Error("it did not learn how long the worker lets connections idle")
+	}
 }
 
 // TestForgotten: a connection that was idle breaks under its next request, though nothing showed and the settings
