--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -29,7 +29,8 @@
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
 	mostShare  = 32      // dispatchers that share a worker, at most
-	mostWarm   = 8       // those of them that may send there while it is cold, at most
+	mostWarm   = 8       // those of them that may send there while it is cold, at most; so many share it at least
+	wantPart   = 12      // workers that a dispatcher wants to draw from
 	unheard    = 3000    // siblings are unseen when none was heard for this time
 	tenantSpan = 5000    // time over which a tenant's arrivals are counted
 	weighSpan  = 60000   // time over which this dispatcher's traffic is weighed against that of siblings
@@ -43,7 +44,7 @@
 func New(s Settings) *Dispatcher {
 	f := derive(s)
 	d := &Dispatcher{f: f, askGap: f.askFirst, byID: map[string]*worker{}, items: map[uint64]*item{},
-		resetAt: -1, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
+		resetAt: -1, shares: f.parts, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
 		arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
 		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
@@ -78,13 +79,52 @@
 	return w.waiting + w.running + len(w.theirs)
 }
 
-// deal names the dispatcher of one part of them all that shares the worker. Each worker is dealt to one
-// dispatcher of each part, by its id and their numbers alone, so that all deal alike without a word, and no
-// other worker's coming or going changes it. In a small fleet each dispatcher is a part: all share all.
-func (d *Dispatcher) deal(w *worker, part int) int {
-	first := part * d.f.siblings / d.f.parts
-	size := (part+1)*d.f.siblings/d.f.parts - first
-	return first + int(mix(w.hash+uint64(part))%uint64(size))
+// deal lists the dispatchers that may share the worker, in an order drawn for it. All dispatchers are cut
+// into parts by number and one of each part is drawn, by the worker's id and their numbers alone, so that all
+// deal alike without a word, and no other worker's coming or going changes it. The first d.shares of them
+// share it: enough for each dispatcher to have some workers to draw from, and few, as each learns the more of
+// a worker the fewer fill it unseen. In a small fleet all share all.
+func (d *Dispatcher) deal(hash uint64) []int {
+	type draw struct {
+		x  uint64
+		to int
+	}
+	var draws []draw
+	for part := range d.f.parts {
+		first := part * d.f.siblings / d.f.parts
+		x := mix(hash + uint64(part))
+		draws = append(draws, draw{x, first + int(x%uint64((part+1)*d.f.siblings/d.f.parts-first))})
+	}
+	slices.SortFunc(draws, func(a, b draw) int { return cmp.Compare(a.x, b.x) })
+	var dealt []int
+	for _, x := range draws {
+		dealt = append(dealt, x.to)
+	}
+	return dealt
+}
+
+// share cuts how many dispatchers share a worker by how many there are beside how many workers are up. Who may
+// warm one does not depend on it: those come first in its deal, whatever list another dispatcher has.
+func (d *Dispatcher) share() {
+	up := 0
+	for _, w := range d.workers {
+		if w.State == Up {
+			up++
+		}
+	}
+	d.shares = min(max((wantPart*d.f.siblings+up-1)/max(up, 1), mostWarm), d.f.parts)
+	d.untold = float64(d.shares*d.shares) / (mostShare * mostShare)
+	stranded := true // then it goes to any, though never to a cold one
+	for _, w := range d.workers {
+		w.mine = w.place < d.shares
+		stranded = stranded && !(w.mine && w.State == Up)
+	}
+	d.part = d.part[:0]
+	for _, w := range d.workers {
+		if w.mine || stranded {
+			d.part = append(d.part, w)
+		}
+	}
 }
 
 // tell lets those that share the worker know of a hand-off that lasts, and for how long: as expected, and
@@ -92,13 +132,13 @@
 // not worth its messages. Each arrival pays for mostShare of these: trouble makes no flood of them.
 func (d *Dispatcher) tell(h *handoff, span float64) {
 	h.tellAt = d.now + span
-	if !d.f.mayTell || d.tellings < d.f.parts-1 {
+	if !d.f.mayTell || d.tellings < d.shares-1 {
 		return
 	}
-	d.tellings -= d.f.parts - 1
+	d.tellings -= d.shares - 1
 	d.tolds.add(d.now, weighSpan, 1)
-	for part := range d.f.parts {
-		if to := d.deal(h.w, part); to != d.f.number {
+	for _, to := range h.w.sharers[:d.shares] {
+		if to != d.f.number {
 			d.out.Tell(to, d.pack(h.w, span))
 		}
 	}
@@ -107,7 +147,7 @@
 // off takes a hand-off that ended or is lost out of the books, its siblings' too: else they would hold a
 // worker that came back for loaded.
 func (d *Dispatcher) off(h *handoff) {
-	if h.at != nil && h.tellAt-d.now > d.f.untold*d.span(h.w) {
+	if h.at != nil && h.tellAt-d.now > d.untold*d.span(h.w) {
 		d.tell(h, 0)
 	}
 	h.to(nil)
@@ -121,7 +161,7 @@
 	d.heard = d.now
 	d.heards.add(d.now, weighSpan, 1)
 	for _, w := range d.part {
-		if span, ok := unpack(w, data); ok && d.deal(w, d.f.partOf(from)) == from {
+		if span, ok := unpack(w, data); ok && slices.Contains(w.sharers, from) {
 			if span > 0 {
 				w.theirs = append(w.theirs, lease{from, d.now + span})
 			} else if k := slices.IndexFunc(w.theirs, func(l lease) bool { return l.from == from }); k >= 0 {
@@ -169,9 +209,10 @@
 		w := d.byID[e.Worker]
 		if w == nil {
 			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), hash: hash(e.Worker)}
-			part := d.f.partOf(d.f.number)
-			w.mine = d.deal(w, part) == d.f.number
-			w.mayWarm = w.mine && (part+int(w.hash>>32))%d.f.parts < mostWarm
+			w.sharers = d.deal(w.hash)
+			if w.place = slices.Index(w.sharers, d.f.number); w.place < 0 {
+				w.place = d.f.parts
+			}
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
@@ -183,14 +224,7 @@
 		w.Entry = e
 	}
 	d.resetAt, d.stirred = d.now, true
-	up := func(w *worker) bool { return w.mine && w.State == Up }
-	stranded := !slices.ContainsFunc(d.workers, up) // then it goes to any, though never to a cold one
-	d.part = d.part[:0]
-	for _, w := range d.workers {
-		if w.mine || stranded {
-			d.part = append(d.part, w)
-		}
-	}
+	d.share()
 }
 
 // Arrived takes a new work item.
@@ -237,7 +271,7 @@
 		return 0
 	}
 	d.arrivals[tenant].add(d.now, tenantSpan, 1)
-	heard := d.heards.sum(d.now, weighSpan) / float64(max(d.f.parts-1, 1))
+	heard := d.heards.sum(d.now, weighSpan) / float64(max(d.shares-1, 1))
 	others := float64(d.f.siblings-1) * (heard + 1) / (d.tolds.sum(d.now, weighSpan) + 1)
 	n, share := d.arrivals[tenant].sum(d.now, tenantSpan), d.f.shares[tenant]/(1+others)
 	if n < share+2*math.Sqrt(share) { // may be chance
@@ -723,7 +757,7 @@
 		return false
 	}
 	// Cold workers: by the few that may warm them, each within its part of the budget.
-	return d.warmth(w) == 1 || w.mayWarm && d.coldRoom(w, max(it.Hint, d.mean))
+	return d.warmth(w) == 1 || w.place < mostWarm && d.coldRoom(w, max(it.Hint, d.mean))
 }
 
 // mayRepeat tells whether what may have run already may be sent to the worker, or to any for nil:
@@ -777,7 +811,7 @@
 		h.started = d.now
 		h.to(&w.running)
 	}
-	if h.tellAt = d.now + d.f.untold*d.span(w); it.Hint > d.f.untold*d.mean {
+	if h.tellAt = d.now + d.untold*d.span(w); it.Hint > d.untold*d.mean {
 		d.tell(&h, d.cost(it, w))
 	}
 	it.hos = append(it.hos, h)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -412,7 +412,7 @@
 	tr.note("workers dealt otherwise once 40 others left and 33 came: %d", moved)
 	tr.say("none of its own is up: any warm one will do, a cold one will not")
 	d := tr.d
-	own := func(e Entry) bool { return d.deal(&worker{hash: hash(e.Worker)}, d.f.partOf(0)) == 0 }
+	own := func(e Entry) bool { return slices.Contains(d.deal(hash(e.Worker)), 0) }
 	others := slices.DeleteFunc(list(20), own)
 	tr.at(100000, func(d *Dispatcher) {
 		others[0].Since = 99000
@@ -425,6 +425,48 @@
 	tr.check("deal")
 }
 
+// TestShares gives dispatchers of one fleet lists of different lengths, as they have while it changes. Each takes a
+// share by its own list; who may warm a worker must not depend on it, or more than its budget allows for would.
+func TestShares(t *testing.T) {
+	s := plain()
+	s.Siblings, s.MayTell = 80, true
+	tr := start(t, s)
+	warmers, most := map[string]int{}, 0
+	for turn, up := range []int{10, 30, 60, 300} {
+		sharers, least, largest := map[string]int{}, up, 0
+		for s.Number = range s.Siblings {
+			d := New(s)
+			var listed []Entry
+			for k := range up {
+				listed = append(listed, Entry{Worker: "w" + strconv.Itoa(k), Since: 1})
+			}
+			d.now = 10
+			d.Listed(Complete, listed)
+			d.reset()
+			for _, w := range d.part {
+				sharers[w.Worker]++
+			}
+			least, largest = min(least, len(d.part)), max(largest, len(d.part))
+			for _, w := range d.workers {
+				it := &item{WorkItem: WorkItem{Hint: 1e-6}, cat: &d.f.categories[0], expiry: 1e6}
+				if d.allowed(it, w) && s.Number%4 == turn { // a quarter of the dispatchers has each of the lists
+					warmers[w.Worker]++
+				}
+			}
+		}
+		for _, n := range sharers {
+			most = max(most, n)
+		}
+		tr.note("%d workers are up: a dispatcher has %d to %d, one is shared by %d", up, least, largest, most)
+		most = 0
+	}
+	for _, n := range warmers {
+		most = max(most, n)
+	}
+	tr.note("a cold worker may be warmed by %d at most, whatever their lists", most)
+	tr.check("shares")
+}
+
 func TestManySiblings(t *testing.T) {
 	s := plain()
 	s.Siblings, s.MayTell = 200, true
@@ -446,11 +488,12 @@
 	tr.say("two workers whose names collide, one of them dealt to the sender: only that one counts as loaded")
 	tr.say("a sibling that does not share the worker is passed over")
 	var v, w *worker
-	shares := func(w *worker, from int) bool { return tr.d.deal(w, tr.d.f.partOf(from)) == from }
+	dealt := func(hash uint64) *worker { return &worker{hash: hash, sharers: tr.d.deal(hash)} }
+	shares := func(w *worker, from int) bool { return slices.Contains(w.sharers, from) }
 	from := 0
 	for k := 0; v == nil; k++ {
-		v = &worker{hash: hash(strconv.Itoa(k))}
-		w = &worker{hash: v.hash ^ 1<<40}
+		v = dealt(hash(strconv.Itoa(k)))
+		w = dealt(v.hash ^ 1<<40)
 		for from = 1; from < 200 && (!shares(v, from) || shares(w, from)); {
 			from++
 		}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -8,9 +8,8 @@
 	shares       []float64 // work items of each tenant within its share in one tenantSpan
 	excessCredit float64
 	siblings     int
-	number       int     // this dispatcher's among them
-	parts        int     // of all dispatchers; one of each shares a worker
-	untold       float64 // of the mean running time: what is shorter is not worth telling so many
+	number       int // this dispatcher's among them
+	parts        int // of all dispatchers; one of each may share a worker
 	zone         int
 	nearFirst    bool
 	tellsStart   bool
@@ -34,8 +33,7 @@
 func derive(s Settings) figures {
 	siblings := max(s.Siblings, 1)
 	parts := min(siblings, mostShare)
-	f := figures{untold: float64(parts*parts) / (mostShare * mostShare),
-		categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
+	f := figures{categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
 		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
 		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
@@ -51,9 +49,6 @@
 	return f
 }
 
-// partOf tells in which part of all dispatchers one is.
-func (f *figures) partOf(number int) int { return ((number+1)*f.parts - 1) / f.siblings }
-
 // A ring sums what happened in the last span of time, by buckets used again. It holds one bucket
 // more than a span has, so that it never forgets early.
 type ring struct {
@@ -126,8 +121,9 @@
 	sent    ring    // cost sent to it in the last fall window
 	last    float64 // time of the last hand-off
 	hash    uint64  // of its id
-	mine    bool    // dealt to this dispatcher
-	mayWarm bool    // is this dispatcher one of the few that may send there while it is cold?
+	sharers []int   // the dispatchers that it is dealt to, in the order of the deal
+	place   int     // this dispatcher's among them; beyond the last: it is not
+	mine    bool    // this dispatcher shares it
 	theirs  []lease // hand-offs that siblings told of
 }
 
@@ -187,7 +183,9 @@
 	out      Writer
 	mwc      uint64
 	workers  []*worker
-	part     []*worker // those that it uses: dealt to it, or all if none of these is up
+	part     []*worker // those that it uses: its share, or all if none of these is up
+	shares   int       // dispatchers that share a worker
+	untold   float64   // of the mean running time: what is shorter is not worth telling so many
 	byID     map[string]*worker
 	kinds    []kind // one more than named, for workers of no known kind
 	items    map[uint64]*item
