Calls to discovery are spread after a failure, and one brings list and changes

Counted: 80 calls at the start, 32 heard, 48 failed after 2 s; these asked again 0.25, 0.5, 1, 2 s later in step, 24 calls or more each time, and every one failed after 2 s or at once, also at rest. Ruled out: a refused list taken for empty (none), our own limit of 1 s for an answer (3 s alone: 14 subscribers, 1,967 refusals). Cause: discovery works through calls that have already failed; ask in dispatch.go asked again after 250 ms, doubling, undrawn, counted from the call, and read in discovery.go made two calls for one. TestAsking plays such a service: never before, 8 s now.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -76,6 +76,7 @@
 	lists    []string // what discovery has told, in order
 	told     chan struct{}
 	silent   bool // discovery is down
+	older    bool // it takes no watch without a revision
 	watches  int
 	disc     *http.Server
 	discAt   string
@@ -260,7 +261,16 @@
 	if w.watches++; !silent && w.watches > 1 {
 		fmt.Fprintf(&w.log, "watch after %s\n", r.FormValue("after"))
 	}
-	for k, l := range w.lists {
+	if !silent && r.FormValue("after") == "" {
+		if w.older {
+			w.mu.Unlock()
+			out.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		fmt.Fprintln(out, w.whole())
+		sent = len(w.lists)
+	}
+	for k, l := range w.lists[sent:] {
 		if l == "break" || strings.HasPrefix(l, `{"revision":`+r.FormValue("after")+",") {
 			sent = k + 1
 		}
@@ -832,10 +842,15 @@
 }
 
 // TestDiscovery: drains are kept, a watch that breaks is opened again after what was read, and a complete
-// list drops what it lacks; the same where discovery tells nothing unasked.
+// list drops what it lacks; the same where discovery tells nothing unasked, and where it takes no watch without a
+// revision, so that the list has to be asked for first.
 func TestDiscovery(t *testing.T) {
-	for _, mode := range []string{"push", "ask"} {
+	for _, mode := range []string{"push", "ask", "older"} {
 		w := newWorld(t)
+		first := ""
+		if w.older = mode == "older"; w.older {
+			mode, first = "push", "watch after 7\n"
+		}
 		w.swap = [2]string{`"discovery":"push"`, fmt.Sprintf(`"discovery":%q`, mode)}
 		one, two := w.finishing("w1"), w.finishing("w2")
 		w.tell(list(7, true, line("w1", one, "in_service")))
@@ -852,7 +867,7 @@
 		w.tell("break")
 		w.await("watch after 9", 1)
 		w.note("client: %s", c.ask(request("b", "/plan/x", "")))
-		want := "w1: a\nclient: 200 from w1\nwatch after 8\n"
+		want := first + "w1: a\nclient: 200 from w1\nwatch after 8\n"
 		for k := range 5 {
 			want += fmt.Sprintf("w2: drained-%d\nclient: 200 from w2\n", k)
 		}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -28,16 +28,16 @@
 	sureAfter  = 8    // answers after which a kind's speed is relied on
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
-	mostShare  = 32      // dispatchers that share a worker, at most
-	mostWarm   = 8       // those of them that may send there while it is cold, at most; so many share it at least
-	wantPart   = 12      // workers that a dispatcher wants to draw from
-	unheard    = 3000    // siblings are unseen when none was heard for this time
-	tenantSpan = 5000    // time over which a tenant's arrivals are counted
-	weighSpan  = 60000   // time over which this dispatcher's traffic is weighed against that of siblings
-	stillAfter = 2.5     // progress intervals without a word: a hand-off stands still
-	askFirst   = 1. / 40 // first wait after a failed call to discovery, of the time within which to ask
-	askAgain   = 3.      // the same for a subscription that says nothing
-	forget     = 1e4     // a worker's own speed fades back to its kind's over this time
+	mostShare  = 32    // dispatchers that share a worker, at most
+	mostWarm   = 8     // those of them that may send there while it is cold, at most; so many share it at least
+	wantPart   = 12    // workers that a dispatcher wants to draw from
+	unheard    = 3000  // siblings are unseen when none was heard for this time
+	tenantSpan = 5000  // time over which a tenant's arrivals are counted
+	weighSpan  = 60000 // time over which this dispatcher's traffic is weighed against that of siblings
+	stillAfter = 2.5   // progress intervals without a word: a hand-off stands still
+	askFirst   = 0.4   // mean wait after a failed call to discovery, of the time within which to ask
+	askAgain   = 3.    // the same for a subscription that says nothing
+	forget     = 1e4   // a worker's own speed fades back to its kind's over this time
 )
 
 // New makes a dispatcher that knows nothing yet.
@@ -171,18 +171,20 @@
 	}
 }
 
-// ask keeps the subscription to discovery alive. It asks again when a call failed, ever more
-// slowly, and when nothing was heard for long: a subscription may have died unseen.
+// ask keeps the subscription to discovery alive. It asks again when a call failed, after a time that is
+// drawn and doubles, and when nothing was heard for long: a subscription may have died unseen. Discovery
+// serves calls in turn and fails those that wait too long, yet they take their turn: dispatchers that
+// ask again soon, or in step, keep one another from ever being heard.
 func (d *Dispatcher) ask() {
 	if !d.f.mustAsk {
 		return
 	}
-	gap := d.askGap
+	gap := d.askWait
 	if d.watched {
 		gap = d.f.askAgain
 	}
 	if d.asked < 0 || d.now-d.asked >= gap {
-		d.asked = d.now
+		d.asked, d.askWait = d.now, d.f.askMost // its answer may take long
 		d.out.Watch(true)
 	}
 }
@@ -191,8 +193,9 @@
 func (d *Dispatcher) Listed(form Form, entries []Entry) {
 	switch form {
 	case Unavailable: // guards against sending to workers whose drain nobody told
-		d.watched = false
-		d.askGap = min(2*d.askGap, d.f.askAgain/6)
+		d.watched, d.asked = false, d.now
+		d.askWait = min(d.askGap, d.f.askMost) * (0.5 + d.chance())
+		d.askGap = 2 * min(d.askGap, d.f.askMost)
 		return
 	case Restored:
 	default:
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -467,6 +467,66 @@
 	tr.check("shares")
 }
 
+// caller is a dispatcher's call to the service of TestAsking.
+type caller struct {
+	trace
+	called float64 // below 0: none is out
+	calls  int
+}
+
+func (c *caller) Watch(bool) { c.called, c.calls = c.now, c.calls+1 }
+
+// TestAsking starts a whole fleet at once before a discovery that serves a call in 62.5 ms, in turn. One that has waited
+// for 2 s has failed, and takes its turn all the same; one that would have to wait for 5 s is turned away at once.
+func TestAsking(t *testing.T) {
+	s := plain()
+	s.Siblings, s.MustAsk = 80, true
+	tr := start(t, s)
+	var all []*caller
+	for s.Number = range s.Siblings {
+		s.Seed += 77777
+		all = append(all, &caller{trace: trace{t: t, d: New(s), sum: map[string]int{}}, called: -1})
+	}
+	free, heard, calls := 0.0, 0, 0 // the service is free then
+	for now := 5.0; now < 30000; now += 5 {
+		tr.now = now
+		for _, c := range all {
+			before := c.calls
+			c.now, c.in = now, func(d *Dispatcher) {
+				if c.called >= 0 && c.called+2000 <= now {
+					c.called = -1
+					d.Listed(Unavailable, nil)
+				}
+			}
+			c.d.Round(now, &c.trace, c)
+			if c.calls == before {
+				continue
+			}
+			free = max(free, now) + 62.5
+			switch wait := free - now; {
+			case wait > 5000: // turned away: it takes no turn
+				free -= 62.5
+				c.called = now - 2000
+			case wait <= 2000:
+				c.called = math.Inf(1)
+				c.d.Listed(Complete, nil)
+				heard++
+			}
+		}
+		if math.Mod(now, 2000) == 0 || heard == len(all) {
+			calls = 0
+			for _, c := range all {
+				calls += c.calls
+			}
+			tr.note("%d of %d dispatchers have their list, after %d calls", heard, len(all), calls)
+		}
+		if heard == len(all) {
+			break
+		}
+	}
+	tr.check("asking")
+}
+
 func TestManySiblings(t *testing.T) {
 	s := plain()
 	s.Siblings, s.MayTell = 200, true
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -21,7 +21,8 @@
 	maxPause     float64 // 0: clients take no advice
 	twoGrains    float64
 	still        float64 // no progress for so long: it stands still
-	askFirst     float64 // first wait after a failed call to discovery
+	askFirst     float64 // mean wait after a first failed call to discovery
+	askMost      float64 // the same after many
 	askAgain     float64 // a subscription is asked for anew after this time without a word
 	startShare   float64
 	warming      float64 // part of its capacity that a cold worker gains in a millisecond, at least
@@ -37,7 +38,7 @@
 		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
 		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
-		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askAgain: askAgain * s.AskWithin,
+		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askMost: s.AskWithin, askAgain: askAgain * s.AskWithin,
 		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
 		fallPart: s.FallMultiple / float64(min(parts, mostWarm))}
 	if s.MayPause {
@@ -208,7 +209,8 @@
 	beat     float64
 	watched  bool
 	asked    float64 // time of the last call to discovery
-	askGap   float64
+	askGap   float64 // mean wait after the next failed call
+	askWait  float64 // drawn wait after the last one
 	heard    float64 // last word of any sibling
 	msg      []byte
 	tellings int    // messages that siblings may still be sent
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -199,9 +199,9 @@
 	}
 	s := begin(true, member("w1", dispatch.Up))
 	s.at(1100, Broken{1})
-	s.at(1700, Listing{Watch: 3, Revision: 9, Complete: true, Members: []Member{member("w1", dispatch.Up)}})
-	s.at(1800, Broken{3})
-	s.at(2500)
+	s.at(7300, Listing{Watch: 3, Revision: 9, Complete: true, Members: []Member{member("w1", dispatch.Up)}})
+	s.at(7400, Broken{3})
+	s.at(14000)
 	fmt.Fprintf(&all, "asked for, a watch that breaks is told to the dispatcher, which asks again\n%s", s.log.String())
 	kept.Check(t, "reducer", all.String())
 }
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -27,9 +27,10 @@
 
 const (
 	discoveryUp     = time.Second
-	discoveryFirst  = time.Second     // it answers at once, or is down
+	discoveryFirst  = 3 * time.Second
 	discoverySilent = 3 * time.Second // an empty line is missing; what it tells counts as told after 6 s
 	listMost        = 8 << 20
+	listPath        = "/v1/endpoints"
 )
 
 // DecodeListing reads one list in discovery's form. A member that cannot be read is passed over.
@@ -112,10 +113,19 @@
 	})
 }
 
-// read brings what discovery tells until it breaks: the whole list first, where that is asked for.
+// errNotWhole: a watch that was asked for without a revision did not begin with the whole list.
+var errNotWhole = errors.New("no whole list came first")
+
+// read brings what discovery tells until it breaks: the whole list first, where that is asked for. One call brings
+// both, as a watch that names no revision begins with the whole list: many dispatchers that start at once would ask a
+// discovery of bounded capacity for twice as much. Where that is not so, the list is asked for by itself.
 func (d *discovery) read(ctx context.Context, number int, addr string, after int64) error {
 	if after == node.Whole {
-		err := d.call(ctx, addr, "/v1/endpoints", func(_ net.Conn, body io.Reader) error {
+		err := d.follow(ctx, number, addr, after)
+		if !errors.Is(err, errNotWhole) {
+			return err
+		}
+		err = d.call(ctx, addr, listPath, func(_ net.Conn, body io.Reader) error {
 			text, err := io.ReadAll(io.LimitReader(body, listMost))
 			if err != nil {
 				return err
@@ -132,13 +142,24 @@
 			return err
 		}
 	}
-	path := "/v1/endpoints?watch=1&after=" + strconv.FormatInt(after, 10)
-	return d.call(ctx, addr, path, func(conn net.Conn, body io.Reader) error {
+	return d.follow(ctx, number, addr, after)
+}
+
+// follow brings what a watch tells until it breaks.
+func (d *discovery) follow(ctx context.Context, number int, addr string, after int64) error {
+	path := listPath + "?watch=1"
+	if after != node.Whole {
+		path += "&after=" + strconv.FormatInt(after, 10)
+	}
+	err := d.call(ctx, addr, path, func(conn net.Conn, body io.Reader) error {
 		lines := bufio.NewScanner(body)
 		lines.Buffer(nil, listMost)
 		for first := true; lines.Scan(); first = false {
 			conn.SetDeadline(time.Now().Add(discoverySilent))
 			if len(lines.Bytes()) == 0 {
+				if first && after == node.Whole {
+					return errNotWhole
+				}
 				if first { // it speaks: nothing has changed since
 					d.node.Queue(node.Listing{Watch: number, Revision: after})
 				}
@@ -148,6 +169,9 @@
 			if err != nil { // what it told would be missing: ask again after the last that was read
 				return fmt.Errorf("bad line: %w", err)
 			}
+			if first && after == node.Whole && !l.Complete {
+				return errNotWhole
+			}
 			l.Watch = number
 			d.node.Queue(l)
 		}
@@ -156,8 +180,18 @@
 		}
 		return errors.New("it ended")
 	})
+	var refused statusError
+	if after == node.Whole && errors.As(err, &refused) && refused >= 400 && refused < 500 {
+		return errNotWhole
+	}
+	return err
 }
 
+// statusError is a status other than 200.
+type statusError int
+
+func (e statusError) Error() string { return fmt.Sprintf("status %d", int(e)) }
+
 // call makes one request on a connection of its own and hands over the body of its answer.
 func (d *discovery) call(ctx context.Context, addr, path string, use func(net.Conn, io.Reader) error) error {
 	dialer := net.Dialer{Timeout: discoveryUp}
@@ -180,7 +214,7 @@
 		return err
 	}
 	if r.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("status %d", r.StatusCode())
+		return statusError(r.StatusCode())
 	}
 	return use(conn, r.BodyStream())
 }
