Workers that failed or are slow are drawn last, told to those that share them

Seen on join and zone: 226 and 251 hand-offs failed by a few bad workers (107 by two of them); each of 16 sharers learns alone, and one that fails fast is always free. Ruled out: connections (none refused there).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,6 +26,8 @@
 	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
 	leakHalf   = 5000 // the leak halves in this time
 	sureAfter  = 8    // answers after which a kind's speed is relied on
+	suspectFor = 1e4  // a worker that failed or was found slow is drawn last for this time
+	slowAfter  = 2.5  // running for so many times what is expected shows a worker slow
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
 	mostShare  = 32    // dispatchers that share a worker, at most
@@ -132,14 +134,20 @@
 // not worth its messages. Each arrival pays for mostShare of these: trouble makes no flood of them.
 func (d *Dispatcher) tell(h *handoff, span float64) {
 	h.tellAt = d.now + span
-	if !d.f.mayTell || d.tellings < d.shares-1 {
-		return
+	if d.mayTell() {
+		d.tolds.add(d.now, weighSpan, 1)
+		d.tellSharers(h.w, d.pack(h.w, span))
 	}
+}
+
+// mayTell: messages are allowed and paid for.
+func (d *Dispatcher) mayTell() bool { return d.f.mayTell && d.tellings >= d.shares-1 }
+
+func (d *Dispatcher) tellSharers(w *worker, message []byte) {
 	d.tellings -= d.shares - 1
-	d.tolds.add(d.now, weighSpan, 1)
-	for _, to := range h.w.sharers[:d.shares] {
+	for _, to := range w.sharers[:d.shares] {
 		if to != d.f.number {
-			d.out.Tell(to, d.pack(h.w, span))
+			d.out.Tell(to, message)
 		}
 	}
 }
@@ -159,6 +167,14 @@
 		return
 	}
 	d.heard = d.now
+	if len(data) == 4 && data[3] == suspicion {
+		for _, w := range d.part {
+			if _, ok := unpack(w, data[:3]); ok && slices.Contains(w.sharers, from) {
+				w.suspectTill = d.now + suspectFor
+			}
+		}
+		return
+	}
 	d.heards.add(d.now, weighSpan, 1)
 	for _, w := range d.part {
 		if span, ok := unpack(w, data); ok && slices.Contains(w.sharers, from) {
@@ -429,9 +445,21 @@
 		}
 	case Failed, ConnectFailed, Reset:
 		d.fail(w)
+		d.suspect(w)
 	}
 }
 
+// suspect has a worker drawn last for a while, here and at those that share it: each of many dispatchers has
+// few answers to learn from, and a worker that fails fast is always free. What siblings say may be wrong, so
+// it costs a worker its turn while others are useful, and nothing else.
+func (d *Dispatcher) suspect(w *worker) {
+	told := w.suspectTill - d.now
+	if w.suspectTill = d.now + suspectFor; told > suspectFor/2 || !d.mayTell() {
+		return
+	}
+	d.tellSharers(w, append(d.pack(w, 0), suspicion))
+}
+
 // fail takes a worker out of the draw, the longer the more failures it had in a row.
 func (d *Dispatcher) fail(w *worker) {
 	w.fails++
@@ -528,6 +556,10 @@
 	if lost && h.at != nil {
 		d.off(h)
 		d.fail(h.w)
+		d.suspect(h.w)
+	}
+	if h.started >= 0 && d.now-h.started > slowAfter*d.cost(it, h.w) && d.now-h.started > d.span(h.w) {
+		d.suspect(h.w)
 	}
 	// Only rerunnable work is moved: anything else may have had its effect.
 	if it.cat.Repeat != Rerunnable || !d.f.mayCancel || it.stream || len(it.hos) >= d.f.maxHandOffs {
@@ -639,8 +671,9 @@
 	if len(d.held) == 0 || !d.stirred && !d.arrived {
 		return
 	}
-	d.ready, d.pressed = d.ready[:0], true
+	d.ready, d.pressed, d.suspects = d.ready[:0], true, false
 	for _, w := range d.part {
+		d.suspects = d.suspects || d.now < w.suspectTill
 		if d.hasCredit(w) {
 			d.ready = append(d.ready, w)
 		}
@@ -675,19 +708,22 @@
 
 // choose takes the item's lane by its bin, or the other lane when no worker of its own has credit. Near goes
 // first where crossing has a price; while siblings are unseen, only if near starts late less often than far.
-// Only when none has credit, a worker may get one more that is likely, not sure, to start at once.
+// Only when none has credit, a worker may get one more that is likely, not sure, to start at once. Suspects come last.
 func (d *Dispatcher) choose(it *item) bool {
 	lane := 0
 	if it.Hint >= d.cutoff && d.chance() >= d.leakNow() {
 		lane = 1
 	}
-	for _, d.pressed = range [2]bool{false, true} {
+	for k := range 4 {
+		if d.pressed = k >= 2; k%2 > 0 && !d.suspects {
+			continue
+		}
 		for _, l := range [2]int{lane, 1 - lane} {
 			for _, near := range [2]bool{true, false} {
 				if near && (!d.f.nearFirst || d.sight == unseen && d.lateNear >= d.lateFar) {
 					continue
 				}
-				if w := d.draw(it, l, near); w != nil {
+				if w := d.draw(it, l, near, k%2 > 0); w != nil {
 					return d.handOff(it, w)
 				}
 			}
@@ -699,11 +735,11 @@
 // draw takes a kind of the lane by capacity, then a worker uniformly within the kind. Workers that
 // would be drawn again at once are left out beforehand, which comes to the same; so are those of
 // other zones while crossing has a price and the lane has a useful worker near.
-func (d *Dispatcher) draw(it *item, lane int, near bool) *worker {
+func (d *Dispatcher) draw(it *item, lane int, near, suspects bool) *worker {
 	d.fit = d.fit[:0]
 	mean, total := 0.0, 0.0
 	for _, w := range d.ready {
-		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) && d.useful(it, w) {
+		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) && (suspects || d.now >= w.suspectTill) && d.useful(it, w) {
 			d.fit = append(d.fit, w)
 			mean += float64(d.load(w))
 		}
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -527,6 +527,50 @@
 	tr.check("asking")
 }
 
+// TestSuspicion: a worker that fails, or that a sibling says failed, is drawn last for a while. Words that are cut short,
+// of another kind or from nobody who shares it change nothing; a wrong one costs a turn at most.
+func TestSuspicion(t *testing.T) {
+	s := plain()
+	s.Siblings, s.MayTell = 3, true
+	tr := start(t, s)
+	tr.up("f1", "f2")
+	id := uint64(0)
+	draw := func(what string) {
+		clear(tr.sum)
+		for range 20 {
+			id++
+			tr.run(id, 0, 100, 100)
+		}
+		tr.note("%s: f1 gets %d of 20, f2 %d", what, tr.sum["f1"], tr.sum["f2"])
+	}
+	draw("at first")
+	word := append(slices.Clone(tr.d.pack(tr.d.byID["f1"], 0)), suspicion)
+	other := append(slices.Clone(word[:3]), suspicion+1)
+	tr.at(tr.now+5, func(d *Dispatcher) {
+		d.Heard(1, other)
+		d.Heard(1, append(word, 0))
+		d.Heard(0, word)
+		d.Heard(3, word)
+		d.Heard(-1, word)
+	})
+	draw("after words that are none")
+	tr.at(tr.now+5, func(d *Dispatcher) { d.Heard(1, word); d.Heard(1, word) })
+	draw("suspected by a sibling")
+	tr.at(tr.now+10000, func(*Dispatcher) {})
+	draw("10 s later")
+	tr.log.WriteString("it fails here: the others are told once\n")
+	tr.at(tr.now+5, func(d *Dispatcher) { d.suspect(d.byID["f1"]); d.suspect(d.byID["f1"]) })
+	tr.up("f1")
+	draw("f1 alone is left, and suspected")
+	var lines []string
+	for _, l := range strings.Split(tr.log.String(), "\n") {
+		if !strings.Contains(l, "hand off") && (!strings.Contains(l, "tell") || strings.HasSuffix(l, "0001")) {
+			lines = append(lines, l)
+		}
+	}
+	kept.Check(t, "suspicion", strings.Join(lines, "\n"))
+}
+
 func TestManySiblings(t *testing.T) {
 	s := plain()
 	s.Siblings, s.MayTell = 200, true
--- a/internal/dispatch/siblings.go
+++ b/internal/dispatch/siblings.go
@@ -10,6 +10,9 @@
 // names collide are told apart by the deal, unless the two dispatchers share both: then both count as
 // loaded until the time told.
 
+// suspicion as a fourth byte: the message tells of the worker itself, that it failed or is slow.
+const suspicion = 1
+
 func hash(id string) uint64 {
 	h := fnv.New64a()
 	h.Write([]byte(id))
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -110,22 +110,23 @@
 // A worker as this dispatcher sees it.
 type worker struct {
 	Entry
-	waiting int // own hand-offs not known to have started
-	running int
-	minGap  float64 // least time seen from hand-off to start notice
-	drained float64 // the queue last met there has drained by then
-	full    float64 // taken to be full until then
-	slow    float64 // log of its slowness beside its kind
-	slowAt  float64
-	fails   int // in a row
-	outTill float64
-	sent    ring    // cost sent to it in the last fall window
-	last    float64 // time of the last hand-off
-	hash    uint64  // of its id
-	sharers []int   // the dispatchers that it is dealt to, in the order of the deal
-	place   int     // this dispatcher's among them; beyond the last: it is not
-	mine    bool    // this dispatcher shares it
-	theirs  []lease // hand-offs that siblings told of
+	waiting     int // own hand-offs not known to have started
+	running     int
+	minGap      float64 // least time seen from hand-off to start notice
+	drained     float64 // the queue last met there has drained by then
+	full        float64 // taken to be full until then
+	slow        float64 // log of its slowness beside its kind
+	slowAt      float64
+	fails       int // in a row
+	outTill     float64
+	suspectTill float64 // drawn last until then
+	sent        ring    // cost sent to it in the last fall window
+	last        float64 // time of the last hand-off
+	hash        uint64  // of its id
+	sharers     []int   // the dispatchers that it is dealt to, in the order of the deal
+	place       int     // this dispatcher's among them; beyond the last: it is not
+	mine        bool    // this dispatcher shares it
+	theirs      []lease // hand-offs that siblings told of
 }
 
 // A lease is a sibling's hand-off and until when it is taken to be out.
@@ -222,6 +223,7 @@
 	stirred  bool      // held work may find room that it did not find before
 	arrived  bool
 	pressed  bool // no worker has sure credit
+	suspects bool // some worker is suspected
 }
 
 // chance draws from [0, 1) by multiply-with-carry.
