--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -26,8 +26,7 @@
 	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
 	leakHalf   = 5000 // the leak halves in this time
 	sureAfter  = 8    // answers after which a kind's speed is relied on
-	suspectFor = 1e4  // a worker that failed or was found slow is drawn last for this time
-	slowAfter  = 2.5  // running for so many times what is expected shows a worker slow
+	suspectFor = 1e4  // a worker that failed work is drawn last for this time
 	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
 
 	mostShare  = 32    // dispatchers that share a worker, at most
@@ -443,9 +442,11 @@
 		if k.lane == 1 { // slow workers refuse: let some large work into the fast lane
 			d.leak, d.leakAt = min(1, d.leakNow()+leakStep), d.now
 		}
-	case Failed, ConnectFailed, Reset:
+	case Failed:
 		d.fail(w)
 		d.suspect(w)
+	case ConnectFailed, Reset:
+		d.fail(w)
 	}
 }
 
@@ -556,10 +557,6 @@
 	if lost && h.at != nil {
 		d.off(h)
 		d.fail(h.w)
-		d.suspect(h.w)
-	}
-	if h.started >= 0 && d.now-h.started > slowAfter*d.cost(it, h.w) && d.now-h.started > d.span(h.w) {
-		d.suspect(h.w)
 	}
 	// Only rerunnable work is moved: anything else may have had its effect.
 	if it.cat.Repeat != Rerunnable || !d.f.mayCancel || it.stream || len(it.hos) >= d.f.maxHandOffs {
