--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -523,7 +523,7 @@
 		for k := range it.hos {
 			h := &it.hos[k]
 			if h.at != nil && d.now >= h.tellAt {
-				d.tell(h, max((d.now-h.sent)/4, 4*d.beat))
+				d.tell(h, max((d.now-h.sent)/2, 4*d.beat))
 			}
 			if !h.done && !h.moved {
 				d.doubt(it, k, h)
@@ -848,7 +848,7 @@
 		h.to(&w.running)
 	}
 	if h.tellAt = d.now + d.untold*d.span(w); it.Hint > d.untold*d.mean {
-		d.tell(&h, d.cost(it, w))
+		d.tell(&h, 1.25*d.cost(it, w))
 	}
 	it.hos = append(it.hos, h)
 	it.out++
