--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"log"
@@ -16,6 +17,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -169,12 +171,20 @@
 	}
 }
 
+// port listens on a port below those that the system hands out. The dispatcher's is closed before it starts: from the
+// system's own, any connection of another test could take it meanwhile.
 func (w *world) port() net.Listener {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	w.must(err)
-	return l
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+(os.Getpid()*64+int(ports.Add(1)))%12000))
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			w.must(err)
+			return l
+		}
+	}
 }
 
+var ports atomic.Int32
+
 func (w *world) note(format string, a ...any) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
