--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -31,7 +31,7 @@
 
 	mostShare  = 32    // dispatchers that share a worker, at most
 	mostWarm   = 8     // those of them that may send there while it is cold, at most; so many share it at least
-	wantPart   = 12    // workers that a dispatcher wants to draw from
+	wantPart   = 10    // workers that a dispatcher wants to draw from
 	unheard    = 3000  // siblings are unseen when none was heard for this time
 	tenantSpan = 5000  // time over which a tenant's arrivals are counted
 	weighSpan  = 60000 // time over which this dispatcher's traffic is weighed against that of siblings
