Lines of the module wrapped at 110 columns; behaviour as before

Cause: four lines of the module were longer than the 110 columns allowed. Change: wrapped, nothing else.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -45,7 +45,8 @@
 func New(s Settings) *Dispatcher {
 	f := derive(s)
 	d := &Dispatcher{f: f, askGap: f.askFirst, byID: map[string]*worker{}, items: map[uint64]*item{},
-		resetAt: -1, shares: f.parts, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1), most: make([]float64, len(s.Categories)),
+		resetAt: -1, shares: f.parts, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1),
+		most:     make([]float64, len(s.Categories)),
 		arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
 		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
@@ -104,8 +105,8 @@
 	return dealt
 }
 
-// share cuts how many dispatchers share a worker by how many there are beside how many workers are up. Who may
-// warm one does not depend on it: those come first in its deal, whatever list another dispatcher has.
+// share cuts how many dispatchers share a worker by how many there are beside how many workers are up.
+// Who may warm one does not depend on it: those come first in its deal, whatever list another has.
 func (d *Dispatcher) share() {
 	up := 0
 	for _, w := range d.workers {
@@ -705,7 +706,8 @@
 
 // choose takes the item's lane by its bin, or the other lane when no worker of its own has credit. Near goes
 // first where crossing has a price; while siblings are unseen, only if near starts late less often than far.
-// Only when none has credit, a worker may get one more that is likely, not sure, to start at once. Suspects come last.
+// Only when none has credit, a worker may get one more that is likely, not sure, to start at once. Suspects
+// come last.
 func (d *Dispatcher) choose(it *item) bool {
 	lane := 0
 	if it.Hint >= d.cutoff && d.chance() >= d.leakNow() {
@@ -736,7 +738,8 @@
 	d.fit = d.fit[:0]
 	mean, total := 0.0, 0.0
 	for _, w := range d.ready {
-		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) && (suspects || d.now >= w.suspectTill) && d.useful(it, w) {
+		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) &&
+			(suspects || d.now >= w.suspectTill) && d.useful(it, w) {
 			d.fit = append(d.fit, w)
 			mean += float64(d.load(w))
 		}
