A new process of a suspected worker is not suspected

Cause, found on reading the change once more: Listed forgets what a forerunner did when a worker starts anew, but not the suspicion, so one back from a lost zone was drawn last for up to 10 s.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -235,7 +235,7 @@
 			d.byID[e.Worker] = w
 			d.workers = append(d.workers, w)
 		} else if e.Since != w.Since { // a new process: what its forerunner did says nothing of it
-			w.fails, w.outTill, w.slow, w.full, w.theirs = 0, 0, 0, 0, nil
+			w.fails, w.outTill, w.suspectTill, w.slow, w.full, w.theirs = 0, 0, 0, 0, 0, nil
 		}
 		if e.Kind < 0 || e.Kind >= len(d.kinds) {
 			e.Kind = len(d.kinds) - 1
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -562,6 +562,8 @@
 	tr.at(tr.now+5, func(d *Dispatcher) { d.suspect(d.byID["f1"]); d.suspect(d.byID["f1"]) })
 	tr.up("f1")
 	draw("f1 alone is left, and suspected")
+	tr.at(tr.now+5, func(d *Dispatcher) { d.Listed(Complete, []Entry{{Worker: "f1", Since: 1}, {Worker: "f2"}}) })
+	draw("a new process of f1 is not suspected")
 	var lines []string
 	for _, l := range strings.Split(tr.log.String(), "\n") {
 		if !strings.Contains(l, "hand off") && (!strings.Contains(l, "tell") || strings.HasSuffix(l, "0001")) {
--- a/internal/dispatch/siblings.go
+++ b/internal/dispatch/siblings.go
@@ -10,7 +10,7 @@
 // names collide are told apart by the deal, unless the two dispatchers share both: then both count as
 // loaded until the time told.
 
-// suspicion as a fourth byte: the message tells of the worker itself, that it failed or is slow.
+// suspicion as a fourth byte: the message tells of the worker itself, that it failed work.
 const suspicion = 1
 
 func hash(id string) uint64 {
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -27,7 +27,7 @@
 
 const (
 	discoveryUp     = time.Second
-	discoveryFirst  = 3 * time.Second
+	discoveryFirst  = 3 * time.Second // calls may wait in turn there; one given up still takes its turn
 	discoverySilent = 3 * time.Second // an empty line is missing; what it tells counts as told after 6 s
 	listMost        = 8 << 20
 	listPath        = "/v1/endpoints"
