Operators' address: ready and counters are answered at once, from atomic figures

Change: internal/operate serves GET /control/ready and /control/counters on `ops` or ROUTER_OPS, one call a connection, with descriptors of its own; internal/figures counts each ending where it is final; the module says which workers it avoids by the condition of its draw.

--- a/cmd/weldmast/main.go
+++ b/cmd/weldmast/main.go
@@ -47,7 +47,8 @@
 
 const about = `A dispatcher beside each submitter: it takes jobs from clients and pushes them to workers.
 
-ROUTER_CONFIG names its configuration (JSON); ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY go before what that says.
+ROUTER_CONFIG names its configuration (JSON); ROUTER_NAME, ROUTER_LISTEN, ROUTER_OPS and ROUTER_DISCOVERY go before what
+that says.
 Ends with 0 when all is well, 1 for a fault, 2 for arguments that it does not know.`
 
 func main() { os.Exit(run(os.Args[1:], os.Stdout, os.Stderr)) }
--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -91,6 +91,7 @@
 	swap     [2]string // text of the configuration, and what stands in its place
 	file     string    // the configuration
 	operator string    // the operator's file, if any
+	ops      string    // where operators call, if anywhere
 	cmd      *exec.Cmd
 	output   output
 }
@@ -416,16 +417,22 @@
 		w.file = filepath.Join(w.t.TempDir(), "config.json")
 	}
 	w.must(os.WriteFile(w.file, []byte(strings.Replace(text, old, new, 1)), 0o600))
-	return append(os.Environ(), "ROUTER_CONFIG="+w.file, "ROUTER_NAME=n0", "ROUTER_LISTEN="+w.listen, "ROUTER_DISCOVERY="+w.discAt)
+	return append(os.Environ(), "ROUTER_CONFIG="+w.file, "ROUTER_NAME=n0", "ROUTER_LISTEN="+w.listen, "ROUTER_DISCOVERY="+w.discAt, "ROUTER_OPS="+w.ops)
 }
 
 // start starts the program and waits until it is ready.
 func (w *world) start() {
+	w.t.Helper()
+	w.begin()
+	w.until("ready", func() bool { return w.get("/ready") == 200 })
+}
+
+// begin starts the program.
+func (w *world) begin() {
 	w.t.Helper()
 	w.cmd = exec.Command(binary)
 	w.cmd.Env, w.cmd.Stderr = append(w.config(w.swap[0], w.swap[1]), "WELDMAST_FILE="+w.operator), &w.output
 	w.must(w.cmd.Start())
-	w.until("ready", func() bool { return w.get("/ready") == 200 })
 }
 
 func (w *world) get(path string) int {
@@ -1204,6 +1211,7 @@
 		{"sockets", `"sockets":1024`, `"sockets":3`},
 		{"peers", `"siblings":2`, `"siblings":3`},
 		{"peer", `"peers":["`, `"peers":["localhost`},
+		{"ops", `"listen"`, `"ops":"nowhere","listen"`},
 		{"no settings", `"settings"`, `"nothing"`},
 		{"setting missing", `"fall":`, `"fallen":`},
 		{"setting wrong", `"fall_multiple":3.0`, `"fall_multiple":"three"`},
--- a/cmd/weldmast/serve.go
+++ b/cmd/weldmast/serve.go
@@ -16,8 +16,10 @@
 	"time"
 
 	"weldmast/internal/config"
+	"weldmast/internal/figures"
 	"weldmast/internal/logs"
 	"weldmast/internal/node"
+	"weldmast/internal/operate"
 	"weldmast/internal/platform"
 )
 
@@ -85,12 +87,24 @@
 	for _, category := range c.Settings.Categories {
 		o.Expiries = append(o.Expiries, category.Expiry)
 	}
+	if c.Ops.IsValid() {
+		o.Figures = figures.New(c.Names.Categories)
+		o.Sockets -= operate.Descriptors
+	}
 	n := node.New(node.Options{Settings: c.Settings, MaxOpen: c.Links.MaxOpen, Discovery: c.Discovery.String(),
-		Known: c.known})
+		Known: c.known, Figures: o.Figures})
 	p, err := platform.Start(o, n)
 	if err != nil {
 		return err
 	}
+	if c.Ops.IsValid() {
+		front, err := operate.Start(operate.Options{Listen: c.Ops, Figures: o.Figures,
+			Ready: func() (string, bool) { return n.Phase().String(), n.Phase() == node.Serving }})
+		if err != nil {
+			return fmt.Errorf("ops: %w", err)
+		}
+		defer front.Close()
+	}
 	slog.Info("name", "name", c.Name, "pid", os.Getpid())
 	go func() {
 		for {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -23,6 +23,7 @@
 	Name       string
 	Listen     netip.AddrPort
 	Discovery  netip.AddrPort
+	Ops        netip.AddrPort // where operators call; not valid: nowhere
 	PeerListen netip.AddrPort // not valid: no messages between siblings
 	Peers      []netip.AddrPort
 	PeersAll   netip.AddrPort // not valid: each of Peers is sent to
@@ -52,6 +53,7 @@
 	Name       string          `json:"name"`
 	Listen     string          `json:"listen"`
 	Discovery  string          `json:"discovery"`
+	Ops        string          `json:"ops"`
 	Seed       string          `json:"seed"`
 	Limits     limits          `json:"limits"`
 	PeerListen string          `json:"peer_listen"`
@@ -67,8 +69,8 @@
 	Sockets  *int     `json:"sockets"`
 }
 
-// Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN and ROUTER_DISCOVERY go before
-// what it says. An error names the key at fault.
+// Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN, ROUTER_OPS and ROUTER_DISCOVERY
+// go before what it says. An error names the key at fault.
 func Load(getenv func(string) string) (Config, error) {
 	return load(getenv, getenv("ROUTER_DISCOVERY"))
 }
@@ -113,7 +115,7 @@
 	for _, v := range []struct {
 		to   *string
 		name string
-	}{{&f.Name, "ROUTER_NAME"}, {&f.Listen, "ROUTER_LISTEN"}} {
+	}{{&f.Name, "ROUTER_NAME"}, {&f.Listen, "ROUTER_LISTEN"}, {&f.Ops, "ROUTER_OPS"}} {
 		if set := getenv(v.name); set != "" {
 			*v.to = set
 		}
@@ -145,6 +147,7 @@
 	}
 	c.Listen = addr("listen", f.Listen, true)
 	c.Discovery = addr("discovery", f.Discovery, true)
+	c.Ops = addr("ops", f.Ops, false)
 	c.PeerListen = addr("peer_listen", f.PeerListen, false)
 	c.PeersAll = addr("peers_all", f.PeersAll, false)
 	for k, p := range f.Peers {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -468,6 +468,25 @@
 	w.outTill = d.now + min(trialFirst*math.Exp2(float64(w.fails-1)), d.f.cold)
 }
 
+// ejected: failures in a row keep it out of the draw for now.
+func (d *Dispatcher) ejected(w *worker) bool { return d.now < w.outTill }
+
+// suspected: it failed work, so it is drawn last for now.
+func (d *Dispatcher) suspected(w *worker) bool { return d.now < w.suspectTill }
+
+// Pool tells how many workers are listed, and how many of those that are up this dispatcher avoids now.
+func (d *Dispatcher) Pool() (listed, avoided int) {
+	for _, w := range d.workers {
+		if w.State != Gone {
+			listed++
+		}
+		if w.State == Up && (d.ejected(w) || d.suspected(w)) {
+			avoided++
+		}
+	}
+	return listed, avoided
+}
+
 func (d *Dispatcher) leakNow() float64 { return d.leak * math.Exp2((d.leakAt-d.now)/leakHalf) }
 
 func (d *Dispatcher) slowness(w *worker) float64 {
@@ -606,7 +625,7 @@
 	}
 	all := 0.0
 	for _, w := range d.part {
-		if w.State == Up && d.now >= w.outTill {
+		if w.State == Up && !d.ejected(w) {
 			c := d.kinds[w.Kind].each * d.warmth(w)
 			d.kinds[w.Kind].weight += c
 			all += c
@@ -671,7 +690,7 @@
 	}
 	d.ready, d.pressed, d.suspects = d.ready[:0], true, false
 	for _, w := range d.part {
-		d.suspects = d.suspects || d.now < w.suspectTill
+		d.suspects = d.suspects || d.suspected(w)
 		if d.hasCredit(w) {
 			d.ready = append(d.ready, w)
 		}
@@ -739,7 +758,7 @@
 	mean, total := 0.0, 0.0
 	for _, w := range d.ready {
 		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) &&
-			(suspects || d.now >= w.suspectTill) && d.useful(it, w) {
+			(suspects || !d.suspected(w)) && d.useful(it, w) {
 			d.fit = append(d.fit, w)
 			mean += float64(d.load(w))
 		}
@@ -763,7 +782,7 @@
 func (d *Dispatcher) hasCredit(w *worker) bool {
 	k := &d.kinds[w.Kind]
 	trial := w.fails > 0 // one at a time
-	if w.State != Up || w.waiting > 0 || trial && w.running > 0 || d.now < w.full || d.now < w.outTill {
+	if w.State != Up || w.waiting > 0 || trial && w.running > 0 || d.now < w.full || d.ejected(w) {
 		return false
 	}
 	n, r := d.load(w), &k.room[d.sight]
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"weldmast/internal/dispatch"
+	"weldmast/internal/figures"
 )
 
 // Phase is where the program stands between its start and its exit.
@@ -36,6 +37,7 @@
 	knownAfter  = 500  // an old list must do when discovery has said nothing for so long
 	acceptAfter = 500  // told to stop, it takes work for so long: clients may not know yet
 	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
+	poolEvery   = 100  // the figures of the workers are at most so old, and a round
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
 	queueSize   = 4096 // values that wait for the reducer
 	usedMost    = 8192 // ids of answered work items that are remembered, twice so many at most
@@ -229,6 +231,8 @@
 	asked      bool    // the dispatcher asked for it and has no answer yet
 	watchAt    float64 // discovery is asked again then; infinite: not now
 	discovery  string  // its address
+	figures    *figures.Figures
+	poolAt     float64 // the pool's are told again then
 	revision   int64   // the last that it told; Whole: it has told no whole list
 	listed     bool    // discovery itself has spoken
 	startAt    float64
@@ -247,6 +251,8 @@
 	// Clock tells the time in milliseconds and never goes back; nil: the machine's, as Unix time.
 	Clock func() float64
 	Log   *slog.Logger // nil: the default one
+	// Figures are told of the workers; nil: none.
+	Figures *figures.Figures
 	// Decider decides; nil: the Dispatcher. Others are for measuring it.
 	Decider dispatch.Decider
 }
@@ -264,7 +270,7 @@
 	n := &Node{s: s, maxOpen: o.MaxOpen, d: o.Decider, queue: make(chan any, queueSize),
 		stopped: make(chan struct{}), clock: o.Clock, log: o.Log, items: map[uint64]*item{},
 		byID: map[string]*item{}, addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1),
-		watchAt: math.Inf(1), discovery: o.Discovery, revision: Whole}
+		watchAt: math.Inf(1), discovery: o.Discovery, revision: Whole, figures: o.Figures}
 	if n.d == nil {
 		n.d = dispatch.New(s)
 	}
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -26,6 +26,10 @@
 func (n *Node) round() {
 	n.lastAt, n.wake = n.now, false
 	n.d.Round(n.now, n, n)
+	if d, ok := n.d.(interface{ Pool() (listed, avoided int) }); ok && n.figures != nil && n.now >= n.poolAt {
+		n.poolAt = n.now + poolEvery
+		n.figures.Pool(d.Pool())
+	}
 }
 
 // Deliver hands over what came in.
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -22,6 +22,7 @@
 
 	"github.com/valyala/fasthttp"
 
+	"weldmast/internal/figures"
 	"weldmast/internal/node"
 	"weldmast/internal/settings"
 )
@@ -41,6 +42,7 @@
 	node     *node.Node
 	names    settings.Names
 	expiries []float64
+	figures  *figures.Figures
 	listener net.Listener
 	most     int
 	server   *fasthttp.Server
@@ -54,7 +56,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &clients{node: n, names: o.Names, expiries: o.Expiries, listener: l, most: most, conns: map[*clientConn]bool{}}
+	c := &clients{node: n, names: o.Names, expiries: o.Expiries, figures: o.Figures, listener: l,
+		most: most, conns: map[*clientConn]bool{}}
 	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread,
 		Concurrency: 2*most + 1, // closed ones may still be ending
 		ReadTimeout: readWithin, WriteTimeout: readWithin, IdleTimeout: clientIdle,
@@ -111,22 +114,23 @@
 	}
 }
 
-// refuseUnread answers what could not be read as a request.
-func refuseUnread(ctx *fasthttp.RequestCtx, err error) {
-	status := fasthttp.StatusBadRequest
+// UnreadStatus is the answer to what could not be read as a request.
+func UnreadStatus(err error) int {
 	var small *fasthttp.ErrSmallBuffer
 	var timeout net.Error
 	switch {
 	case errors.Is(err, fasthttp.ErrBodyTooLarge):
-		status = fasthttp.StatusRequestEntityTooLarge
+		return fasthttp.StatusRequestEntityTooLarge
 	case errors.As(err, &small):
-		status = fasthttp.StatusRequestHeaderFieldsTooLarge
+		return fasthttp.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &timeout) && timeout.Timeout():
-		status = fasthttp.StatusRequestTimeout
+		return fasthttp.StatusRequestTimeout
 	}
-	refuse(ctx, status, err.Error())
+	return fasthttp.StatusBadRequest
 }
 
+func refuseUnread(ctx *fasthttp.RequestCtx, err error) { refuse(ctx, UnreadStatus(err), err.Error()) }
+
 // serverLog keeps what fasthttp says, but for what was refused and logged here.
 type serverLog struct{}
 
@@ -214,21 +218,35 @@
 	conn := ctx.Conn().(*clientConn)
 	reply := make(chan node.Reply, 1)
 	client.Answer = func(r node.Reply) { reply <- r }
-	if !c.node.Queue(node.Arrived{Client: client}) {
-		encode(ctx, node.Reply{Result: node.Deferred})
-		return
-	}
-	conn.watch(func() { c.node.Queue(node.Departed{Client: client}) })
-	select {
-	case r := <-reply:
-		encode(ctx, r)
-		if r.Result != node.Repeated {
-			conn.prove()
+	c.figures.Taken()
+	r := node.Reply{Result: node.Deferred}
+	if c.node.Queue(node.Arrived{Client: client}) {
+		conn.watch(func() { c.node.Queue(node.Departed{Client: client}) })
+		select {
+		case r = <-reply:
+			if r.Result != node.Repeated {
+				conn.prove()
+			}
+		case <-c.node.Done(): // it came in after the last round: nothing was sent
 		}
-	case <-c.node.Done(): // it came in after the last round: nothing was sent
-		encode(ctx, node.Reply{Result: node.Deferred})
+		conn.unwatch()
+	}
+	encode(ctx, r)
+	c.count(client.Category, r.Result)
+}
+
+// count takes a job's one answer into the figures.
+func (c *clients) count(category int, r node.Result) {
+	switch r {
+	case node.Served:
+		c.figures.Ended(category, figures.OK)
+	case node.Deferred:
+		c.figures.Ended(category, figures.Shed)
+	case node.WrittenOff, node.Overdue:
+		c.figures.Ended(category, figures.Error)
+	case node.Repeated, node.Gone: // no job of its own; nobody to answer
+		c.figures.Left()
 	}
-	conn.unwatch()
 }
 
 // decode reads a request. What it keeps is its own copy.
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"weldmast/internal/figures"
 	"weldmast/internal/node"
 	"weldmast/internal/settings"
 )
@@ -29,6 +30,7 @@
 	Expiries   []float64 // of each category
 	Copies     bool      // second copies are allowed
 	Sockets    int
+	Figures    *figures.Figures // nil: none are asked for
 }
 
 // Platform is the front of one node.
@@ -52,7 +54,7 @@
 func Start(o Options, n *node.Node) (*Platform, error) {
 	ctx, stop := context.WithCancel(context.Background())
 	p := &Platform{stop: stop}
-	p.workers = newWorkers(n, o.Links, o.Copies, int(workerPart*float64(o.Sockets)))
+	p.workers = newWorkers(n, o, int(workerPart*float64(o.Sockets)))
 	p.discovery = &discovery{ctx: ctx, node: n, names: o.Names, running: &p.running}
 	var err error
 	if p.siblings, err = listenSiblings(o, n); err == nil {
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -22,8 +22,8 @@
 	"github.com/valyala/fasthttp"
 
 	"weldmast/internal/dispatch"
+	"weldmast/internal/figures"
 	"weldmast/internal/node"
-	"weldmast/internal/settings"
 )
 
 const (
@@ -84,6 +84,7 @@
 	idleFor time.Duration // connections are used again after being idle for so long, at most
 	most    int
 	copies  bool // second copies are allowed
+	figures *figures.Figures
 	mu      sync.Mutex
 	learned time.Duration // the same by connections that workers ended, as of learnAt
 	learnAt time.Time     // zero: never
@@ -92,11 +93,11 @@
 	running sync.WaitGroup
 }
 
-func newWorkers(n *node.Node, l settings.Links, copies bool, most int) *workers {
-	ms := float64(time.Millisecond)
+func newWorkers(n *node.Node, o Options, most int) *workers {
+	ms, l := float64(time.Millisecond), o.Links
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
-		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), most: most, copies: copies,
-		idle: map[string][]*workerConn{}}
+		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), most: most, copies: o.Copies,
+		figures: o.Figures, idle: map[string][]*workerConn{}}
 }
 
 // errTooMany: all connections to workers that the limit allows are in use. The hand-off could not connect.
@@ -304,6 +305,7 @@
 	a.mu.Lock()
 	a.written = true
 	a.mu.Unlock()
+	a.w.figures.Tried()
 	var r fasthttp.Response
 	err = r.ReadLimitBody(conn.in, answerMost)
 	a.release(conn, err, !r.ConnectionClose())
