A new process takes the old one's place under load: sockets, knowledge, idle connections

Change: internal/takeover (machine free of I/O, link, exchange) where `ops` is set and TMPDIR leads to an older process; the platform pauses, gives connections away and adopts them; the node tells and inherits the list, ids and what the module learned; callbacks that one process does not know are passed to the other.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -92,6 +92,7 @@
 	file     string    // the configuration
 	operator string    // the operator's file, if any
 	ops      string    // where operators call, if anywhere
+	temp     string    // TMPDIR, if it is set
 	cmd      *exec.Cmd
 	output   output
 }
@@ -432,7 +433,17 @@
 	w.t.Helper()
 	w.cmd = exec.Command(binary)
 	w.cmd.Env, w.cmd.Stderr = append(w.config(w.swap[0], w.swap[1]), "WELDMAST_FILE="+w.operator), &w.output
+	if w.temp != "" {
+		w.cmd.Env = append(w.cmd.Env, "TMPDIR="+w.temp)
+	}
 	w.must(w.cmd.Start())
+	cmd := w.cmd
+	w.t.Cleanup(func() { // of those that another one has followed
+		if cmd != w.cmd && cmd.ProcessState == nil {
+			cmd.Process.Kill()
+			cmd.Wait()
+		}
+	})
 }
 
 func (w *world) get(path string) int {
@@ -713,8 +724,8 @@
 	w.must(w.sibling.SetDeadline(time.Now().Add(patience)))
 	n, from, err := w.sibling.ReadFrom(told)
 	w.must(err)
+	w.await("w1: a", 1) // which may have come first
 	w.note("told from its own address: %v, at most 256 bytes: %v", from.String() == w.peerAt, n <= 256)
-	w.await("w1: a", 1)
 	w.back("a", "w1", "started", "")
 	w.back("a", "w1", "done", "")
 	w.note("client: %s", c.answer())
@@ -725,7 +736,7 @@
 	for k := range 5 {
 		w.note("client: %s", c.ask(request(fmt.Sprint(k), "/order/x", "")))
 	}
-	want := "told from its own address: true, at most 256 bytes: true\nw1: a\nclient: 200\n"
+	want := "w1: a\ntold from its own address: true, at most 256 bytes: true\nclient: 200\n"
 	for k := range 5 {
 		want += fmt.Sprintf("w2: %d\nclient: 200 from w2\n", k)
 	}
--- a/cmd/weldmast/serve.go
+++ b/cmd/weldmast/serve.go
@@ -21,6 +21,7 @@
 	"weldmast/internal/node"
 	"weldmast/internal/operate"
 	"weldmast/internal/platform"
+	"weldmast/internal/takeover"
 )
 
 // loaded is a checked configuration with its list of workers.
@@ -57,6 +58,15 @@
 	}, nil
 }
 
+// aim sets the collector's aim; the operators' limit kills. Half of it while another process has the other half.
+func aim(mb int, half bool) {
+	aim := int64(mb) << 20 * 6 / 10
+	if half {
+		aim /= 2
+	}
+	debug.SetMemoryLimit(aim)
+}
+
 // run serves until SIGTERM, then until all that was taken is answered.
 func (s *serveCommand) run(errs io.Writer) error {
 	stop := make(chan os.Signal, 1)
@@ -80,7 +90,7 @@
 		return fmt.Errorf("configuration: %w", err)
 	}
 	runtime.GOMAXPROCS(c.Cores)
-	debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10) // the collector's aim; the operators' limit kills
+	aim(c.MemoryMB, false)
 	o := platform.Options{Listen: c.Listen, PeerListen: c.PeerListen, Peers: c.Peers,
 		PeersAll: c.PeersAll, Number: c.Settings.Number, Names: c.Names, Links: c.Links,
 		Copies: c.Settings.SecondCopies, Sockets: c.Sockets}
@@ -91,6 +101,14 @@
 		o.Figures = figures.New(c.Names.Categories)
 		o.Sockets -= operate.Descriptors
 	}
+	var exchange *takeover.Exchange
+	if c.Temp != "" {
+		exchange = takeover.New(takeover.Options{Dir: c.Temp, Name: c.Name, Listen: c.Listen.String()})
+		if o.Found, err = exchange.Find(); err != nil {
+			return err
+		}
+		o.Exchange, o.Shared = exchange, func(half bool) { aim(c.MemoryMB, half) }
+	}
 	n := node.New(node.Options{Settings: c.Settings, MaxOpen: c.Links.MaxOpen, Discovery: c.Discovery.String(),
 		Known: c.known, Figures: o.Figures})
 	p, err := platform.Start(o, n)
@@ -138,7 +156,11 @@
 		}
 		defer done()
 	}
+	if exchange != nil {
+		exchange.Run(p)
+	}
 	n.Run(p)
 	p.Close()
+	exchange.Close()
 	return nil
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -24,6 +24,7 @@
 	Listen     netip.AddrPort
 	Discovery  netip.AddrPort
 	Ops        netip.AddrPort // where operators call; not valid: nowhere
+	Temp       string         // folder in which processes of this dispatcher find each other; empty: nowhere
 	PeerListen netip.AddrPort // not valid: no messages between siblings
 	Peers      []netip.AddrPort
 	PeersAll   netip.AddrPort // not valid: each of Peers is sent to
@@ -72,7 +73,11 @@
 // Load reads the file that ROUTER_CONFIG names; ROUTER_NAME, ROUTER_LISTEN, ROUTER_OPS and ROUTER_DISCOVERY
 // go before what it says. An error names the key at fault.
 func Load(getenv func(string) string) (Config, error) {
-	return load(getenv, getenv("ROUTER_DISCOVERY"))
+	c, err := load(getenv, getenv("ROUTER_DISCOVERY"))
+	if c.Ops.IsValid() { // where operators can ask whether a new process is ready
+		c.Temp = getenv("TMPDIR")
+	}
+	return c, err
 }
 
 // Reload reads and checks the file again. ROUTER_DISCOVERY told of the start: what the file says now is newer.
@@ -81,7 +86,7 @@
 	if c, err = load(getenv, ""); err != nil {
 		return old, nil, err
 	}
-	c.Settings.Seed = old.Settings.Seed // new with each start
+	c.Settings.Seed, c.Temp = old.Settings.Seed, old.Temp // of the start
 	is, was := reflect.ValueOf(c), reflect.ValueOf(old)
 	for k := range is.NumField() {
 		name := is.Type().Field(k).Name
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -487,6 +487,9 @@
 	return listed, avoided
 }
 
+// Succeed has another process in this one's place from now on, with what Learned told: the budget of cold workers is its.
+func (d *Dispatcher) Succeed() { d.succeeded = true }
+
 func (d *Dispatcher) leakNow() float64 { return d.leak * math.Exp2((d.leakAt-d.now)/leakHalf) }
 
 func (d *Dispatcher) slowness(w *worker) float64 {
@@ -814,8 +817,8 @@
 	if it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) || !d.mayRepeat(it, w) {
 		return false
 	}
-	// Cold workers: by the few that may warm them, each within its part of the budget.
-	return d.warmth(w) == 1 || w.place < mostWarm && d.coldRoom(w, max(it.Hint, d.mean))
+	// Cold workers: by the few that may warm them, each within its part of the budget; by one process of each.
+	return d.warmth(w) == 1 || !d.succeeded && w.place < mostWarm && d.coldRoom(w, max(it.Hint, d.mean))
 }
 
 // mayRepeat tells whether what may have run already may be sent to the worker, or to any for nil:
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -180,50 +180,51 @@
 
 // Dispatcher decides for one submitter. Not for use from several goroutines at once.
 type Dispatcher struct {
-	f        figures
-	now      float64
-	out      Writer
-	mwc      uint64
-	workers  []*worker
-	part     []*worker // those that it uses: its share, or all if none of these is up
-	shares   int       // dispatchers that share a worker
-	untold   float64   // of the mean running time: what is shorter is not worth telling so many
-	byID     map[string]*worker
-	kinds    []kind // one more than named, for workers of no known kind
-	items    map[uint64]*item
-	open     []*item // in order of arrival
-	held     []*item // by rank, then arrival
-	most     []float64
-	sample   []float64 // hints, a ring
-	sampled  int
-	sight    int     // are siblings seen?
-	lateNear float64 // share of hand-offs in this zone that start late, smoothed
-	lateFar  float64 // the same in others
-	sorted   []float64
-	cutoff   float64
-	median   float64
-	mean     float64
-	resetAt  float64
-	leak     float64
-	leakAt   float64
-	beatAt   float64
-	beat     float64
-	watched  bool
-	asked    float64 // time of the last call to discovery
-	askGap   float64 // mean wait after the next failed call
-	askWait  float64 // drawn wait after the last one
-	heard    float64 // last word of any sibling
-	msg      []byte
-	tellings int    // messages that siblings may still be sent
-	arrivals []ring // of each tenant
-	heards   ring   // messages of siblings
-	tolds    ring   // tellings of its own
-	fit      []*worker
-	ready    []*worker // those with credit, this round
-	stirred  bool      // held work may find room that it did not find before
-	arrived  bool
-	pressed  bool // no worker has sure credit
-	suspects bool // some worker is suspected
+	f         figures
+	now       float64
+	out       Writer
+	mwc       uint64
+	workers   []*worker
+	part      []*worker // those that it uses: its share, or all if none of these is up
+	shares    int       // dispatchers that share a worker
+	untold    float64   // of the mean running time: what is shorter is not worth telling so many
+	byID      map[string]*worker
+	kinds     []kind // one more than named, for workers of no known kind
+	items     map[uint64]*item
+	open      []*item // in order of arrival
+	held      []*item // by rank, then arrival
+	most      []float64
+	sample    []float64 // hints, a ring
+	sampled   int
+	sight     int     // are siblings seen?
+	lateNear  float64 // share of hand-offs in this zone that start late, smoothed
+	lateFar   float64 // the same in others
+	sorted    []float64
+	cutoff    float64
+	median    float64
+	mean      float64
+	resetAt   float64
+	leak      float64
+	leakAt    float64
+	beatAt    float64
+	beat      float64
+	watched   bool
+	asked     float64 // time of the last call to discovery
+	askGap    float64 // mean wait after the next failed call
+	askWait   float64 // drawn wait after the last one
+	heard     float64 // last word of any sibling
+	msg       []byte
+	tellings  int    // messages that siblings may still be sent
+	arrivals  []ring // of each tenant
+	heards    ring   // messages of siblings
+	tolds     ring   // tellings of its own
+	fit       []*worker
+	ready     []*worker // those with credit, this round
+	stirred   bool      // held work may find room that it did not find before
+	arrived   bool
+	pressed   bool // no worker has sure credit
+	suspects  bool // some worker is suspected
+	succeeded bool // another process has taken this one's place
 }
 
 // chance draws from [0, 1) by multiply-with-carry.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"log/slog"
 	"math"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -55,8 +56,11 @@
 	Watch(number int, addr string, after int64)
 	// Tell sends a message to a sibling, or to all for -1.
 	Tell(to int, data []byte)
-	// Drain makes clients go elsewhere: no connection is kept beyond its next answer.
-	Drain()
+	// Drain makes clients go elsewhere: no connection is kept beyond its next answer. Where another process takes this
+	// one's place it is told what is known, which may be called before Drain returns.
+	Drain(known func() Known)
+	// Pass asks this dispatcher's other processes about a callback; its Answer is called once.
+	Pass(c Callback)
 	// Dismiss closes the connections that wait for a request.
 	Dismiss()
 }
@@ -127,7 +131,15 @@
 		State    CallbackState
 		Share    float64
 		Result   string
-	}
+		// Answer is called once, by the reducer or by whom it passed it to; must not block. Nil: nobody asks.
+		Answer func(Applied)
+		// The process that told it, if another one did: whom not to ask.
+		Newer, Older bool
+	}
+	// Succeeded tells that another process waits to take this one's place.
+	Succeeded struct{}
+	// Inherited is what the process knew whose place this one takes.
+	Inherited struct{ Known Known }
 	// Listing is what discovery told.
 	Listing struct {
 		Watch    int // the number of the watch that brought it
@@ -148,6 +160,32 @@
 	Stop struct{}
 )
 
+// Applied is what became of a callback.
+type Applied int
+
+// What may become of it.
+const (
+	WasApplied Applied = iota
+	NotKnown           // to nobody
+	Unsure             // another process may know it
+)
+
+// Known is all that a process tells the one that takes its place.
+type Known struct {
+	Discovery string // where the list comes from
+	Revision  int64
+	Members   []Member
+	Used      []string // ids of work items that are open, or ran, or may have
+	Learned   dispatch.Learned
+}
+
+// learner is a Decider that can be succeeded.
+type learner interface {
+	Learned() dispatch.Learned
+	Recall(dispatch.Learned)
+	Succeed()
+}
+
 // CallbackState is what a callback tells.
 type CallbackState int
 
@@ -418,7 +456,19 @@
 			n.ended(it, v.HO, v.Outcome, "")
 		}
 	case Callback:
-		n.callback(v)
+		switch known := n.callback(v); {
+		case v.Answer == nil:
+		case known:
+			v.Answer(WasApplied)
+		default:
+			n.front.Pass(v)
+		}
+	case Succeeded:
+		if n.Phase() == Draining {
+			n.front.Drain(n.known)
+		}
+	case Inherited:
+		n.inherit(v.Known)
 	case Listing:
 		n.listing(v)
 	case Broken:
@@ -443,7 +493,7 @@
 		if n.Phase() < Draining {
 			n.enter(Draining)
 			n.drainAt = n.now
-			n.front.Drain()
+			n.front.Drain(n.known)
 		}
 	default:
 		panic(fmt.Sprintf("unknown value %T", v))
@@ -525,11 +575,11 @@
 }
 
 // callback applies what a worker tells to the hand-off that is out there. Callbacks repeat and come late:
-// one for what has ended, is unknown or is at another worker changes nothing.
-func (n *Node) callback(c Callback) {
+// one for what has ended, is unknown or is at another worker changes nothing. It tells whether the work item is known.
+func (n *Node) callback(c Callback) bool {
 	it := n.byID[c.ID]
 	if it == nil {
-		return
+		return false
 	}
 	before := false // an earlier hand-off there may be what it tells of
 	for ho := range it.hos {
@@ -540,21 +590,60 @@
 			before = before || !h.never
 		case c.State == Started || c.State == Running:
 			n.inbox = append(n.inbox, noticed{it.wi, ho, c.State == Started, c.Share})
-			return
+			return true
 		case c.State == Done: // of either: it is the worker's result for this work item
 			n.ended(it, ho, dispatch.Finished, c.Result)
-			return
+			return true
 		case before:
 			// Nothing tells which. Taken for the newer one's, work that runs could count as never run and run
 			// twice; so it is passed over, and the dispatcher's doubts or the expiry end the newer one.
 			n.log.Warn("callback", "callback", "ambiguous", "id", c.ID, "from", c.From)
-			return
+			return true
 		default:
 			n.ended(it, ho, map[CallbackState]dispatch.Outcome{Failed: dispatch.Failed,
 				Returned: dispatch.Full, Lost: dispatch.Reset}[c.State], "")
-			return
+			return true
+		}
+	}
+	return true
+}
+
+// known is what the process that takes this one's place is told. From then on that one alone warms workers.
+func (n *Node) known() Known {
+	k := Known{Discovery: n.discovery, Revision: n.revision}
+	for id := range n.byID {
+		k.Used = append(k.Used, id)
+	}
+	for _, used := range n.used {
+		for id := range used {
+			k.Used = append(k.Used, id)
 		}
 	}
+	slices.Sort(k.Used)
+	if d, ok := n.d.(learner); ok {
+		k.Learned = d.Learned()
+		d.Succeed()
+	}
+	for _, w := range k.Learned.Workers {
+		k.Members = append(k.Members, Member{w.Entry, n.addrs[w.Worker]})
+	}
+	return k
+}
+
+// inherit takes in what the process knew whose place this one takes. Its list counts only where it is newer: this one
+// follows discovery itself.
+func (n *Node) inherit(k Known) {
+	for _, id := range k.Used {
+		n.use(id)
+	}
+	if len(k.Members) > 0 && (!n.listed || k.Discovery == n.discovery && k.Revision > n.revision) {
+		clear(n.addrs)
+		n.take(k.Members)
+		n.inbox = append(n.inbox, listed{dispatch.Restored, k.Members})
+	}
+	n.inbox = append(n.inbox, k.Learned)
+	n.log.Info("takeover", "takeover", "inherited", "list", k.Revision, "own", n.revision, "members", len(k.Members),
+		"ids", len(k.Used))
 }
 
 func (n *Node) take(members []Member) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -35,7 +35,8 @@
 	s.note("watch %d at %s after %d", number, addr, after)
 }
 func (s *script) Tell(to int, data []byte) { s.note("tell %d %x", to, data) }
-func (s *script) Drain()                   { s.note("drain") }
+func (s *script) Drain(func() Known)       { s.note("drain") }
+func (s *script) Pass(c Callback)          { s.note("pass %s", c.ID) }
 func (s *script) Dismiss()                 { s.note("dismiss") }
 
 // at lets values come in at a time, after all that is due before.
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -48,6 +48,10 @@
 			d.Noticed(v.wi, v.ho, v.start, v.share)
 		case Heard:
 			d.Heard(v.From, v.Data)
+		case dispatch.Learned:
+			if to, ok := d.(learner); ok {
+				to.Recall(v)
+			}
 		case listed:
 			entries := make([]dispatch.Entry, len(v.members))
 			for k, m := range v.members {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -18,6 +18,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -43,23 +44,26 @@
 	names    settings.Names
 	expiries []float64
 	figures  *figures.Figures
-	listener net.Listener
-	most     int
+	listener *net.TCPListener
+	most     atomic.Int64                            // connections
+	passing  bool                                    // callbacks may be another process's
+	giving   atomic.Pointer[func(syscall.Conn) bool] // idle connections are given away
+	gate     gate
 	server   *fasthttp.Server
 	draining atomic.Bool
 	mu       sync.Mutex
 	conns    map[*clientConn]bool
 }
 
-func listenClients(o Options, n *node.Node, most int) (*clients, error) {
-	l, err := net.Listen("tcp", o.Listen.String())
+func listenClients(o Options, n *node.Node) (*clients, error) {
+	l, err := listen(o)
 	if err != nil {
 		return nil, err
 	}
 	c := &clients{node: n, names: o.Names, expiries: o.Expiries, figures: o.Figures, listener: l,
-		most: most, conns: map[*clientConn]bool{}}
+		passing: o.Exchange != nil, conns: map[*clientConn]bool{}}
 	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread,
-		Concurrency: 2*most + 1, // closed ones may still be ending
+		Concurrency: 2*int(clientPart*float64(o.Sockets)) + 1, // closed ones may still be ending
 		ReadTimeout: readWithin, WriteTimeout: readWithin, IdleTimeout: clientIdle,
 		MaxRequestBodySize: bodyMost, ReadBufferSize: headMost, DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader: true, NoDefaultContentType: true, Logger: serverLog{},
@@ -108,7 +112,7 @@
 			break
 		}
 	}
-	c.listener.Close()
+	c.Close()
 	for _, conn := range c.all() {
 		conn.Close()
 	}
@@ -205,7 +209,21 @@
 		return
 	}
 	ctx.Conn().(*clientConn).prove()
-	c.node.Queue(node.Callback{ID: in.ID, From: in.From, State: state, Share: in.Share, Result: in.Result})
+	told := node.Callback{ID: in.ID, From: in.From, State: state, Share: in.Share, Result: in.Result}
+	if !c.passing {
+		c.node.Queue(told)
+		return
+	}
+	applied := make(chan node.Applied, 1)
+	told.Answer = func(a node.Applied) { applied <- a }
+	c.node.Queue(told)
+	select {
+	case a := <-applied:
+		if a == node.Unsure { // the worker tells it again
+			ctx.Error("another process has not answered\n", fasthttp.StatusServiceUnavailable)
+		}
+	case <-c.node.Done():
+	}
 }
 
 // submit hands a work item to the node and waits for its answer.
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"log/slog"
 	"net"
 	"os"
 	"runtime"
@@ -74,11 +75,27 @@
 // Accept makes the clients the listener that fasthttp serves. It never waits for another client's request to end: who
 // is owed an answer or a look at /ready must get through a flood of others.
 func (c *clients) Accept() (net.Conn, error) {
-	conn, err := c.listener.Accept()
+	conn, err := c.next()
 	if err != nil {
 		return nil, err
 	}
-	cc := &clientConn{Conn: conn, owner: c, since: time.Now()}
+	return c.enter(conn), nil
+}
+
+// next is the next connection that comes in; none while the gate is shut.
+func (c *clients) next() (net.Conn, error) {
+	for {
+		c.gate.wait()
+		conn, err := c.listener.Accept()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+	}
+}
+
+// enter takes a connection in, and makes room for it.
+func (c *clients) enter(conn net.Conn) *clientConn {
+	cc := &clientConn{Conn: conn, owner: c, since: time.Now(), offered: c.giving.Load() != nil}
 	c.mu.Lock()
 	c.conns[cc] = true
 	c.mu.Unlock()
@@ -87,17 +104,34 @@
 		for c.full() && c.makeRoom() {
 		}
 	}
-	for int(c.server.GetOpenConnectionsCount()) >= 2*c.most { // those that were closed have yet to end
+	for int64(c.server.GetOpenConnectionsCount()) >= 2*c.most.Load() { // those that were closed have yet to end
 		time.Sleep(time.Millisecond)
 	}
-	return cc, nil
+	return cc
+}
+
+// adopt serves a connection that another process accepted.
+func (c *clients) adopt(conn net.Conn) {
+	cc := c.enter(conn)
+	if err := c.server.ServeConn(cc); err != nil && !errors.Is(err, io.EOF) {
+		slog.Debug("adopted", "err", err)
+	}
+}
+
+// giveIdle gives away the connections on which no request has begun, and those that still come: their clients notice
+// nothing, where closing one could cross a request.
+func (c *clients) giveIdle(give func(syscall.Conn) bool) {
+	c.giving.Store(&give)
+	for _, conn := range c.all() {
+		conn.offer()
+	}
 }
 
 // full tells whether there are more connections than the limit allows.
 func (c *clients) full() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.conns) > c.most
+	return len(c.conns) > int(c.most.Load())
 }
 
 // makeRoom closes one connection: of those that never brought work or a callback the one that has been so for longest,
@@ -119,7 +153,11 @@
 }
 
 // Close ends the listener.
-func (c *clients) Close() error { return c.listener.Close() }
+func (c *clients) Close() error {
+	err := c.listener.Close()
+	c.gate.open()
+	return err
+}
 
 // Addr is where it listens.
 func (c *clients) Addr() net.Addr { return c.listener.Addr() }
@@ -153,6 +191,7 @@
 	used    bool // it had a request
 	proven  bool
 	closing bool
+	offered bool          // it is given away once it is at rest
 	last    byte          // of what was read of the request line
 	line    bool          // the request line was read
 	odd     bool          // and does not end in CRLF
@@ -168,14 +207,18 @@
 	if len(c.ahead) > 0 {
 		n = copy(p, c.ahead)
 		c.ahead = c.ahead[n:]
-	} else {
-		n, err = c.Conn.Read(p)
+	} else if n, err = c.Conn.Read(p); n == 0 && c.given(err) {
+		return 0, io.EOF
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closing {
 		return 0, net.ErrClosed
 	}
+	if n > 0 && c.offered { // its request is served here
+		c.offered = false
+		c.Conn.SetReadDeadline(time.Now().Add(readWithin))
+	}
 	if !c.begun && n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		return 0, io.EOF // nothing came: closed without a word, where fasthttp would answer 408 to a new one
 	}
@@ -185,6 +228,40 @@
 	return n, err
 }
 
+// offer has the connection given away as soon as it waits for a request.
+func (c *clientConn) offer() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.serving && !c.begun && len(c.ahead) == 0 && !c.closing {
+		c.offered = true
+		c.Conn.SetReadDeadline(time.Unix(1, 0)) // wakes who reads
+	}
+}
+
+// SetReadDeadline sets when reading ends; at once while the connection is offered.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.offered && !c.begun {
+		t = time.Unix(1, 0)
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// given gives an offered connection away from which nothing came. If nobody takes it, it is closed as idle ones are.
+func (c *clientConn) given(err error) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	give := c.owner.giving.Load()
+	if !c.offered || c.begun || c.closing || give == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	if c.closing = (*give)(c.Conn.(syscall.Conn)); !c.closing {
+		slog.Warn("takeover", "takeover", "a connection was not taken", "from", c.RemoteAddr())
+	}
+	return c.closing
+}
+
 // moved takes note that a request is coming in. The lock is held.
 func (c *clientConn) moved() {
 	if c.proven && !c.begun {
@@ -243,6 +320,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.since, c.used, c.serving, c.begun, c.line, c.last = time.Now(), true, false, false, false, 0
+	c.offered = c.owner.giving.Load() != nil
 }
 
 // give closes the connection, unless its request is served meanwhile, or it was idle and something has come that was
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -10,12 +10,14 @@
 	"context"
 	"fmt"
 	"net/netip"
+	"os"
 	"sync"
 	"time"
 
 	"weldmast/internal/figures"
 	"weldmast/internal/node"
 	"weldmast/internal/settings"
+	"weldmast/internal/takeover"
 )
 
 // Options is what the parts need to know.
@@ -31,6 +33,10 @@
 	Copies     bool      // second copies are allowed
 	Sockets    int
 	Figures    *figures.Figures // nil: none are asked for
+	// Exchange is with other processes of this dispatcher; nil: there are none, and the addresses are its alone.
+	Exchange *takeover.Exchange
+	Found    []*os.File      // sockets of an older process, served once it has handed over
+	Shared   func(half bool) // told which part of the bounds is this process's
 }
 
 // Platform is the front of one node.
@@ -39,6 +45,8 @@
 	workers   *workers
 	discovery *discovery
 	siblings  *siblings
+	o         Options
+	node      *node.Node
 	stop      context.CancelFunc
 	running   sync.WaitGroup
 }
@@ -53,18 +61,25 @@
 // Start listens and begins to serve. The node's queue takes what comes in; it need not run yet.
 func Start(o Options, n *node.Node) (*Platform, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	p := &Platform{stop: stop}
-	p.workers = newWorkers(n, o, int(workerPart*float64(o.Sockets)))
+	p := &Platform{o: o, node: n, stop: stop}
+	p.workers = newWorkers(n, o)
 	p.discovery = &discovery{ctx: ctx, node: n, names: o.Names, running: &p.running}
 	var err error
 	if p.siblings, err = listenSiblings(o, n); err == nil {
-		p.clients, err = listenClients(o, n, int(clientPart*float64(o.Sockets)))
+		p.clients, err = listenClients(o, n)
 	}
 	if err != nil {
 		stop()
 		p.siblings.close()
 		return nil, fmt.Errorf("start: %w", err)
 	}
+	for _, f := range o.Found { // the parts have copies
+		f.Close()
+	}
+	p.Share(len(o.Found) > 0)
+	if len(o.Found) > 0 {
+		p.Pause() // until the older process has handed over
+	}
 	p.running.Go(func() { p.workers.tidy(ctx) })
 	p.running.Go(func() { p.siblings.send(ctx) })
 	p.running.Go(p.siblings.receive)
@@ -83,15 +98,20 @@
 // Tell sends a message to siblings.
 func (p *Platform) Tell(to int, data []byte) { p.siblings.tell(to, data) }
 
-// Drain has connections closed with their next answer.
-func (p *Platform) Drain() { p.clients.draining.Store(true) }
+// Drain has connections closed with their next answer, and hands over if there is a newer process.
+func (p *Platform) Drain(known func() node.Known) {
+	p.clients.draining.Store(true)
+	if p.o.Exchange != nil {
+		p.o.Exchange.Stop(func() []byte { return encodeKnown(known()) })
+	}
+}
 
 // Dismiss closes connections that wait for a request.
 func (p *Platform) Dismiss() { p.clients.dismiss() }
 
-// Close lets answers under way leave, for a short time, and ends everything.
+// Close lets requests and answers under way come to their end, for a short time, and ends everything.
 func (p *Platform) Close() {
-	p.clients.close(time.Second)
+	p.clients.close(readWithin) // what has begun to come in is whole by then, or never
 	p.workers.close(time.Second)
 	p.stop()
 	p.siblings.close()
--- a/internal/platform/siblings.go
+++ b/internal/platform/siblings.go
@@ -31,6 +31,7 @@
 	all   netip.AddrPort
 	me    int
 	out   chan datagram
+	gate  gate
 }
 
 func listenSiblings(o Options, n *node.Node) (*siblings, error) {
@@ -39,13 +40,14 @@
 		return s, nil
 	}
 	var err error
-	s.conn, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.PeerListen))
+	s.conn, err = listenPacket(o)
 	return s, err
 }
 
 func (s *siblings) close() {
 	if s != nil && s.conn != nil {
 		s.conn.Close()
+		s.gate.open()
 	}
 }
 
@@ -94,6 +96,7 @@
 	}
 	buf := make([]byte, datagramMost+1)
 	for {
+		s.gate.wait()
 		n, from, err := s.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
--- /dev/null
+++ b/internal/platform/takeover.go
@@ -0,0 +1,230 @@
+// This file owns the platform's side of a takeover: the sockets that two processes share, and the form in which one tells
+// the other what it knows. It must never decide when; the exchange does.
+
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"weldmast/internal/node"
+	"weldmast/internal/takeover"
+)
+
+// A gate holds a loop that reads, or lets it through. The zero value is open.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{} // nil: open
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		g.opened = make(chan struct{})
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		close(g.opened)
+		g.opened = nil
+	}
+}
+
+func (g *gate) wait() {
+	g.mu.Lock()
+	opened := g.opened
+	g.mu.Unlock()
+	if opened != nil {
+		<-opened
+	}
+}
+
+// The places of the sockets that are handed over.
+const (
+	clientSocket = iota
+	siblingSocket
+)
+
+// shareable lets another process listen at the same address. This guards against an older one that hangs or cannot be
+// reached: the start beside it must succeed.
+var shareable = net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
+	return raw.Control(func(fd uintptr) {
+		if err := unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1); err != nil {
+			slog.Warn("takeover", "takeover", "the address cannot be shared", "err", err)
+		}
+	})
+}}
+
+// listen is at the clients' address: by the older process's socket, or by one of its own.
+func listen(o Options) (*net.TCPListener, error) {
+	var l net.Listener
+	var err error
+	switch {
+	case len(o.Found) > clientSocket:
+		l, err = net.FileListener(o.Found[clientSocket])
+	case o.Exchange != nil:
+		l, err = shareable.Listen(context.Background(), "tcp", o.Listen.String())
+	default:
+		l, err = net.Listen("tcp", o.Listen.String())
+	}
+	if err != nil {
+		return nil, err
+	}
+	t, ok := l.(*net.TCPListener)
+	if !ok {
+		l.Close()
+		return nil, fmt.Errorf("%s is no TCP address", l.Addr())
+	}
+	return t, nil
+}
+
+// listenPacket is the same at the siblings' address.
+func listenPacket(o Options) (*net.UDPConn, error) {
+	var c net.PacketConn
+	var err error
+	switch {
+	case len(o.Found) > siblingSocket:
+		c, err = net.FilePacketConn(o.Found[siblingSocket])
+	case o.Exchange != nil:
+		c, err = shareable.ListenPacket(context.Background(), "udp", o.PeerListen.String())
+	default:
+		return net.ListenUDP("udp", net.UDPAddrFromAddrPort(o.PeerListen))
+	}
+	if err != nil {
+		return nil, err
+	}
+	u, ok := c.(*net.UDPConn)
+	if !ok {
+		c.Close()
+		return nil, fmt.Errorf("%s is no UDP address", c.LocalAddr())
+	}
+	return u, nil
+}
+
+// Sockets are those that a newer process is given.
+func (p *Platform) Sockets() []syscall.Conn {
+	all := []syscall.Conn{p.clients.listener}
+	if p.siblings.conn != nil {
+		all = append(all, p.siblings.conn)
+	}
+	return all
+}
+
+// Pause leaves what comes in to the other process.
+func (p *Platform) Pause() {
+	p.clients.gate.shut()
+	p.clients.listener.SetDeadline(time.Unix(1, 0))
+	if c := p.siblings.conn; c != nil {
+		p.siblings.gate.shut()
+		c.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+// Resume takes in what comes.
+func (p *Platform) Resume() {
+	p.clients.giving.Store(nil)
+	p.clients.listener.SetDeadline(time.Time{})
+	p.clients.gate.open()
+	if c := p.siblings.conn; c != nil {
+		c.SetReadDeadline(time.Time{})
+		p.siblings.gate.open()
+	}
+}
+
+// GiveIdle gives away connections that wait for a request.
+func (p *Platform) GiveIdle(give func(syscall.Conn) bool) { p.clients.giveIdle(give) }
+
+// Adopt serves a connection that was given away.
+func (p *Platform) Adopt(c net.Conn) { go p.clients.adopt(c) }
+
+// Share keeps to half of the bounds while another process has the other half.
+func (p *Platform) Share(half bool) {
+	part := float64(p.o.Sockets)
+	if half {
+		part /= 2
+	}
+	p.clients.most.Store(int64(clientPart * part))
+	p.workers.bound(int(workerPart * part))
+	if p.o.Shared != nil {
+		p.o.Shared(half)
+	}
+}
+
+// Succeeded tells the node that a newer process is there.
+func (p *Platform) Succeeded() { p.node.Queue(node.Succeeded{}) }
+
+// told is a callback as one process tells it the other.
+type told struct {
+	ID, From string
+	State    node.CallbackState
+	Share    float64
+	Result   string
+}
+
+var answers = map[takeover.Answer]node.Applied{takeover.Applied: node.WasApplied, takeover.NotKnown: node.NotKnown,
+	takeover.Unsure: node.Unsure}
+
+// Pass asks the other processes about a callback.
+func (p *Platform) Pass(c node.Callback) {
+	text, err := json.Marshal(told{c.ID, c.From, c.State, c.Share, c.Result})
+	if err != nil || p.o.Exchange == nil {
+		c.Answer(node.NotKnown)
+		return
+	}
+	p.o.Exchange.Pass(text, c.Newer, c.Older, func(a takeover.Answer) { c.Answer(answers[a]) })
+}
+
+// Callback takes one that another process did not know.
+func (p *Platform) Callback(text []byte, newer bool, answer func(takeover.Answer)) {
+	var t told
+	if json.Unmarshal(text, &t) != nil {
+		answer(takeover.NotKnown)
+		return
+	}
+	back := func(a node.Applied) {
+		for to, from := range answers {
+			if a == from {
+				answer(to)
+			}
+		}
+	}
+	c := node.Callback{ID: t.ID, From: t.From, State: t.State, Share: t.Share, Result: t.Result, Answer: back,
+		Newer: newer, Older: !newer}
+	if !p.node.Queue(c) {
+		answer(takeover.NotKnown)
+	}
+}
+
+// encodeKnown is what one process tells the other of all that it knows.
+func encodeKnown(k node.Known) []byte {
+	text, err := json.Marshal(k)
+	if err != nil {
+		slog.Error("takeover", "takeover", "what is known cannot be told", "err", err)
+		return nil
+	}
+	return text
+}
+
+// Inherit takes what the older process knew.
+func (p *Platform) Inherit(text []byte) error {
+	var k node.Known
+	if err := json.Unmarshal(text, &k); err != nil {
+		return err
+	}
+	p.node.Queue(node.Inherited{Known: k})
+	return nil
+}
+
+var _ takeover.Host = (*Platform)(nil)
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -93,10 +93,10 @@
 	running sync.WaitGroup
 }
 
-func newWorkers(n *node.Node, o Options, most int) *workers {
+func newWorkers(n *node.Node, o Options) *workers {
 	ms, l := float64(time.Millisecond), o.Links
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
-		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), most: most, copies: o.Copies,
+		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), copies: o.Copies,
 		figures: o.Figures, idle: map[string][]*workerConn{}}
 }
 
@@ -195,6 +195,13 @@
 	w.closed()
 }
 
+// bound sets how many connections to workers there may be.
+func (w *workers) bound(most int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.most = most
+}
+
 // closed counts one connection less.
 func (w *workers) closed() {
 	w.mu.Lock()
