--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	"os/exec"
+	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -156,3 +157,248 @@
 		t.Errorf("left in the folder: %v %v", entries, err)
 	}
 }
+
+// at is the path at which processes of this dispatcher find each other.
+func (w *world) at() string {
+	return filepath.Join(w.temp, "weldmast-"+strings.ReplaceAll(w.listen, ":", "-"))
+}
+
+// TestOrdinaryStart: whatever stands where an older process would be found, the start is an ordinary one, soon, and says so;
+// a foreign file stays as it was.
+func TestOrdinaryStart(t *testing.T) {
+	answering := func(say string) func(*world) {
+		return func(w *world) {
+			l, err := net.Listen("unixpacket", w.at())
+			w.must(err)
+			t.Cleanup(func() { l.Close() })
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					if say != "" {
+						io.WriteString(c, say)
+					}
+				}
+			}()
+		}
+	}
+	for _, x := range []struct {
+		name string
+		put  func(w *world)
+		logs string
+	}{
+		{"nothing", func(*world) {}, ""},
+		{"no folder", func(w *world) { w.temp += "/none" }, "will not find this one"},
+		{"long path", func(w *world) {
+			w.temp += "/" + strings.Repeat("x", 100)
+			w.must(os.Mkdir(w.temp, 0o700))
+		}, "the path is too long"},
+		{"file", func(w *world) { w.must(os.WriteFile(w.at(), []byte("foreign"), 0o600)) }, "is no socket"},
+		{"folder", func(w *world) { w.must(os.Mkdir(w.at(), 0o700)) }, "is no socket"},
+		{"stale", func(w *world) {
+			w.begin()
+			w.ready()
+			w.must(w.cmd.Process.Kill())
+			w.cmd.Wait()
+		}, "connection refused"},
+		{"hung", answering(""), "none to take over from"},
+		{"nonsense", answering("nonsense"), "refused: onsense"},
+		{"empty welcome", answering("w"), "no sockets came"},
+		{"another version", answering("ranother version of the exchange"), "refused: another version"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			t.Parallel()
+			w := replaced(t)
+			w.tell(list(1, true, line("w1", w.finishing("w1"), "in_service")))
+			x.put(w)
+			begun := time.Now()
+			w.begin()
+			w.ready()
+			if d := time.Since(begun); d > 3*time.Second {
+				t.Errorf("ready after %s", d)
+			}
+			if got := w.dial().ask(request("a", "/order/x", "")); got != "200 from w1" {
+				t.Errorf("client: %s", got)
+			}
+			if x.logs != "" {
+				w.logged(x.logs, 1)
+			}
+			if text, err := os.ReadFile(w.at()); x.name == "file" && string(text) != "foreign" {
+				t.Errorf("the file is now %q, %v", text, err)
+			}
+		})
+	}
+}
+
+// TestUpgradeFaults: who dies when, and who comes when; a client is served after each.
+func TestUpgradeFaults(t *testing.T) {
+	begin := func(t *testing.T) *world {
+		t.Parallel()
+		w := replaced(t)
+		w.tell(list(1, true, line("w1", w.finishing("w1"), "in_service")))
+		w.begin()
+		w.ready()
+		return w
+	}
+	served := func(w *world) {
+		w.t.Helper()
+		if got := w.dial().ask(request(fmt.Sprint("job", ports.Add(1)), "/order/x", "")); !strings.HasPrefix(got, "200 from w1") {
+			w.t.Errorf("client: %s", got)
+		}
+	}
+	term := func(w *world, p *exec.Cmd) { w.must(p.Process.Signal(syscall.SIGTERM)) }
+	ends := func(w *world, p *exec.Cmd) {
+		w.t.Helper()
+		if err := p.Wait(); err != nil {
+			w.t.Errorf("the older ended: %v", err)
+		}
+	}
+	t.Run("newer dies early", func(t *testing.T) {
+		w := begin(t)
+		older := w.beside()
+		w.must(w.cmd.Process.Kill())
+		w.cmd.Wait()
+		w.logged("the other process has ended", 1)
+		served(w)
+		w.cmd = older
+		w.beside() // and another one finds it as before
+		term(w, older)
+		ends(w, older)
+		served(w)
+	})
+	t.Run("newer dies late", func(t *testing.T) {
+		w := begin(t)
+		older := w.beside()
+		term(w, older)
+		w.logged("handed over", 1)
+		w.must(w.cmd.Process.Kill())
+		w.cmd.Wait()
+		served(w) // still takes work for half a second, as at any order to stop
+		ends(w, older)
+	})
+	t.Run("older killed", func(t *testing.T) {
+		w := begin(t)
+		older := w.beside()
+		w.must(older.Process.Kill())
+		older.Wait()
+		served(w)
+		older = w.beside()
+		term(w, older)
+		ends(w, older)
+		served(w)
+	})
+	t.Run("older hangs", func(t *testing.T) {
+		w := begin(t)
+		w.must(w.cmd.Process.Signal(syscall.SIGSTOP))
+		older := w.beside() // shares the address; what the hung one would accept waits for its end
+		w.must(older.Process.Kill())
+		older.Wait()
+		served(w)
+	})
+	t.Run("two newer", func(t *testing.T) {
+		w := begin(t)
+		older := w.beside()
+		newer := w.cmd
+		w.begin()
+		if err := w.cmd.Wait(); err == nil || !strings.Contains(w.output.String(), "another process is taking over") {
+			t.Errorf("the second one: %v", err)
+		}
+		w.cmd = newer
+		term(w, older)
+		ends(w, older)
+		served(w)
+	})
+	t.Run("told before the newer is ready", func(t *testing.T) {
+		w := begin(t)
+		w.mu.Lock()
+		w.silent = true
+		w.mu.Unlock()
+		older := w.cmd
+		l := w.port()
+		w.ops = l.Addr().String()
+		l.Close()
+		w.begin()
+		w.logged("a newer process is there", 1)
+		term(w, older)
+		w.ready() // by the list that was handed over
+		served(w)
+		ends(w, older)
+	})
+	t.Run("newer comes after the order", func(t *testing.T) {
+		w := begin(t)
+		hold := w.dial() // keeps the older one alive
+		io.WriteString(hold, request("half", "/order/x", "")[:50])
+		older := w.cmd
+		term(w, older)
+		w.logged("phase=draining", 1)
+		w.beside()
+		w.logged("handed over", 1)
+		served(w)
+		hold.Close()
+		ends(w, older)
+		served(w)
+	})
+	t.Run("reload beside", func(t *testing.T) {
+		w := begin(t)
+		older := w.beside()
+		for _, p := range []*exec.Cmd{older, w.cmd} {
+			w.must(p.Process.Signal(syscall.SIGHUP))
+		}
+		w.logged("reload=taken", 2)
+		served(w)
+		term(w, older)
+		ends(w, older)
+		served(w)
+	})
+}
+
+// TestUpgradeCallbacks: what the older process holds is told to it, whoever hears of it, and applied once; its ids are in
+// use at the newer one as well, also through two upgrades.
+func TestUpgradeCallbacks(t *testing.T) {
+	w := replaced(t)
+	w.tell(list(1, true, line("w1", w.worker("w1", nil), "in_service")))
+	w.begin()
+	w.ready()
+	oldest := w.dial()
+	io.WriteString(oldest, request("a", "/order/x", ""))
+	w.await("w1: a", 1)
+	older := w.beside()
+	w.must(older.Process.Signal(syscall.SIGTERM))
+	w.logged("handed over", 1)
+	w.note("started: %d", w.back("a", "w1", "started", ""))
+	middle := w.dial()
+	io.WriteString(middle, request("b", "/order/x", ""))
+	w.await("w1: b", 1)
+	w.beside().Process.Signal(syscall.SIGTERM)
+	w.logged("handed over", 2)
+	w.note("again: %s", w.dial().ask(request("a", "/order/x", "")))
+	w.note("nobody: %d", w.back("nobody", "w1", "done", ""))
+	for range 2 {
+		w.note("a: %d", w.back("a", "w1", "done", "once"))
+		w.note("b: %d", w.back("b", "w1", "done", "b"))
+	}
+	w.note("oldest: %s", oldest.answer())
+	w.note("middle: %s", middle.answer())
+	w.note("oldest ends: %v", older.Wait())
+	w.note("over: %d", w.back("a", "w1", "done", "late"))
+	w.mu.Lock()
+	seen := strings.ReplaceAll(w.log.String(), "watch after \n", "")
+	w.log.Reset()
+	w.log.WriteString(seen)
+	w.mu.Unlock()
+	w.check(`w1: a
+started: 200
+w1: b
+again: 409 Connection: close
+nobody: 200
+a: 200
+b: 200
+a: 200
+b: 200
+oldest: 200 once Connection: close
+middle: 200 b Connection: close
+oldest ends: <nil>
+over: 200`)
+}
--- a/internal/takeover/exchange.go
+++ b/internal/takeover/exchange.go
@@ -114,6 +114,9 @@
 	if err == nil {
 		what, rest, files, err = l.hear(make([]byte, packetMost))
 	}
+	if err == nil && what == sayWelcome && len(files) == 0 {
+		err = errors.New("no sockets came with its welcome")
+	}
 	if err == nil && what != sayWelcome {
 		closeAll(files)
 		if err = fmt.Errorf("refused: %s", rest[:min(len(rest), 100)]); what == sayRefused && Refusal(rest) == Taken {
@@ -181,6 +184,10 @@
 		case Resume:
 			slog.Warn("takeover", "takeover", "the newer process died")
 			x.host.Resume()
+		case Report:
+			if x.older.say(sayFollowed, []byte(fmt.Sprint(x.newer != nil))) != nil {
+				x.older.conn.Close() // its reader ends it
+			}
 		case Halve:
 			x.host.Share(true)
 		case Whole:
@@ -284,15 +291,13 @@
 		conn.Close()
 		return
 	}
+	x.newer = l
+	x.do(actions, nil)
 	if err := l.give(sayWelcome, x.host.Sockets()...); err != nil {
 		slog.Warn("takeover", "takeover", "the newer process left", "err", err)
-		conn.Close()
-		x.m.NewerGone()
-		return
+		conn.Close() // its reader ends it
 	}
 	slog.Info("takeover", "takeover", "a newer process is there")
-	x.newer = l
-	x.do(actions, nil)
 	x.running.Go(func() { x.follow(l, true) })
 	x.host.Succeeded()
 }
@@ -318,6 +323,10 @@
 			x.mu.Lock()
 			x.do(x.m.Yours(), nil)
 			x.mu.Unlock()
+		case sayFollowed:
+			x.mu.Lock()
+			x.m.Followed(string(rest) == fmt.Sprint(true))
+			x.mu.Unlock()
 		case sayConn:
 			for _, f := range files {
 				if conn, err := net.FileConn(f); err == nil {
--- a/internal/takeover/link.go
+++ b/internal/takeover/link.go
@@ -18,14 +18,15 @@
 
 // A message is one packet: a byte that says what it is, and the rest.
 const (
-	sayHello   = 'h' // greeting
-	sayWelcome = 'w' // with the sockets
-	sayRefused = 'r' // a Refusal
-	sayPart    = 'p' // of what is handed over
-	sayYours   = 'y' // all parts are there
-	sayConn    = 'c' // with a client's connection
-	sayAsk     = 'a' // a number of eight bytes, and a callback
-	sayKnown   = 'k' // a number of eight bytes, and an Answer
+	sayHello    = 'h' // greeting
+	sayWelcome  = 'w' // with the sockets
+	sayRefused  = 'r' // a Refusal
+	sayPart     = 'p' // of what is handed over
+	sayYours    = 'y' // all parts are there
+	sayConn     = 'c' // with a client's connection
+	sayFollowed = 'f' // whether a newer process is there
+	sayAsk      = 'a' // a number of eight bytes, and a callback
+	sayKnown    = 'k' // a number of eight bytes, and an Answer
 )
 
 const (
--- a/internal/takeover/machine.go
+++ b/internal/takeover/machine.go
@@ -17,6 +17,7 @@
 	Welcome               // give the newer process the sockets: done before all else
 	Yield                 // stop accepting and hand over what is known, then the idle connections
 	Resume                // accept again: the newer process died
+	Report                // tell the older process whether there is a newer one now
 	Halve                 // keep to half of the bounds
 	Whole                 // all of them are its own again
 )
@@ -33,10 +34,11 @@
 
 // Machine is one process between its start and its end. Of all processes of a dispatcher one is to accept at any time.
 type Machine struct {
-	ours    bool // this one accepts
-	older   bool // the link to the one before is up
-	newer   bool // the link to the one after is up
-	yielded bool // what was ours is the newer one's
+	ours     bool // this one accepts
+	older    bool // the link to the one before is up
+	newer    bool // the link to the one after is up
+	yielded  bool // what was ours is the newer one's
+	followed bool // the newer one has a newer one itself
 }
 
 // Start begins: welcomed by an older process, or alone.
@@ -59,9 +61,20 @@
 		return Taken, nil
 	}
 	m.newer = true
-	return "", []Action{Welcome, Halve}
+	return "", append(m.report(), Welcome, Halve)
 }
 
+// report is told first: if this process dies, the one before must not accept beside the one after.
+func (m *Machine) report() (do []Action) {
+	if m.older {
+		do = append(do, Report)
+	}
+	return do
+}
+
+// Followed is the newer process's word that there is one after it, or none any more.
+func (m *Machine) Followed(on bool) { m.followed = on }
+
 // Stop is the order to end, told again when a newer process is there only since.
 func (m *Machine) Stop() []Action {
 	if !m.ours || !m.newer {
@@ -89,13 +102,13 @@
 	return append(do, m.Yours()...)
 }
 
-// NewerGone is the end of the link to the newer process.
+// NewerGone is the end of the link to the newer process: it died.
 func (m *Machine) NewerGone() (do []Action) {
 	m.newer = false
-	if !m.older {
+	if do = m.report(); !m.older {
 		do = append(do, Whole)
 	}
-	if m.yielded {
+	if m.yielded && !m.followed { // else that one accepts
 		m.ours, m.yielded = true, false
 		do = append(do, Resume)
 	}
