--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -163,8 +163,8 @@
 	uri := ctx.Request.Header.RequestURI()
 	path, _, _ := bytes.Cut(uri, []byte("?"))
 	fault := headFault(&ctx.Request.Header)
-	if len(ctx.Request.Header.PeekTrailerKeys()) > 0 { // fasthttp adds them to the head: one could change the id
-		fault = "a trailer after the body"
+	if fault == "" && len(ctx.Request.Header.PeekTrailerKeys()) > 0 && !dropTrailers(&ctx.Request.Header) {
+		fault = "a trailer that cannot be told from the head"
 	}
 	if !ctx.Conn().(*clientConn).begin() {
 		fault = "the request line does not end in CRLF"
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -5,6 +5,7 @@
 package platform
 
 import (
+	"bufio"
 	"bytes"
 	"errors"
 	"io"
@@ -72,6 +73,20 @@
 	return ""
 }
 
+// dropTrailers reads the head anew as it came, without the fields that followed the body: fasthttp gives them out as if
+// they were of the head, where one could stand for an id that is missing there. They mean nothing here and go no further.
+func dropTrailers(h *fasthttp.RequestHeader) bool {
+	text := append(append(append([]byte(nil), h.Method()...), ' '), h.RequestURI()...)
+	text = append(append(append(append(text, ' '), h.Protocol()...), "\r\n"...), h.RawHeaders()...)
+	var clean fasthttp.RequestHeader
+	if clean.Read(bufio.NewReaderSize(bytes.NewReader(append(text, "\r\n"...)), headMost)) != nil {
+		return false
+	}
+	clean.Del("Trailer") // what it announces is gone
+	clean.CopyTo(h)
+	return len(h.PeekTrailerKeys()) == 0
+}
+
 // Accept makes the clients the listener that fasthttp serves. It never waits for another client's request to end: who
 // is owed an answer or a look at /ready must get through a flood of others.
 func (c *clients) Accept() (net.Conn, error) {
