A request that comes slowly is told from a silent one by its pieces

Change: each piece gives 2 s more, up to the longest expiry; while room is made a first request that still moves ranks with later ones, a half said one counts a quarter of its age.

--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -34,8 +34,8 @@
 	idMost     = 128
 	whyMost    = 200
 	clientIdle = time.Minute
-	// A request must be there whole this long after its connection, a later one after its first byte; an answer
-	// must be read within it as well.
+	// Something of a request must come this long after its connection, and after what came before; an answer must be
+	// read within it as well. It must be there whole within the longest expiry.
 	readWithin = 2 * time.Second
 )
 
@@ -43,6 +43,7 @@
 	node     *node.Node
 	names    settings.Names
 	expiries []float64
+	sayMost  time.Duration // a request is there whole within this time
 	figures  *figures.Figures
 	listener *net.TCPListener
 	most     atomic.Int64                            // connections
@@ -62,6 +63,7 @@
 	}
 	c := &clients{node: n, names: o.Names, expiries: o.Expiries, figures: o.Figures, listener: l,
 		passing: o.Exchange != nil, conns: map[*clientConn]bool{}}
+	c.sayMost = max(readWithin, time.Duration(slices.Max(o.Expiries)*float64(time.Millisecond)))
 	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread,
 		Concurrency: 2*int(clientPart*float64(o.Sockets)) + 1, // closed ones may still be ending
 		ReadTimeout: readWithin, WriteTimeout: readWithin, IdleTimeout: clientIdle,
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -150,8 +150,8 @@
 }
 
 // makeRoom closes one connection: of those that never brought work or a callback the one that has been so for longest,
-// be it silent, half said or idle after asking for /ready; else the longest idle, else the one whose next request has
-// been coming in for longest. Those whose request is being served stay; the node takes no more of them than half of
+// be it silent, idle after asking for /ready, or half said, which counts for a quarter; else the longest idle, else the
+// one whose request has been coming in for longest, be it a first one that still moves. Those whose request is being served stay; the node takes no more of them than half of
 // all descriptors. What is usual says what it has to say at once and so is young among the first.
 func (c *clients) makeRoom() bool {
 	var last *clientConn
@@ -202,6 +202,9 @@
 	mu      sync.Mutex
 	since   time.Time // it was accepted, answered, or its next request began
 	begun   bool      // something of a request was read, or waits to be
+	pieces  int       // in which it came so far
+	first   time.Time // the first of them
+	latest  time.Time // the last
 	serving bool
 	used    bool // it had a request
 	proven  bool
@@ -285,9 +288,14 @@
 	c.begun = true
 }
 
-// came takes note of what was read. The lock is held.
+// came takes note of what was read, and gives what is missing more time: slow is not silent. The lock is held.
 func (c *clientConn) came(p []byte) {
 	c.moved()
+	if c.latest = time.Now(); c.pieces == 0 {
+		c.first = c.latest
+	}
+	c.pieces++
+	c.Conn.SetReadDeadline(earlier(c.latest.Add(readWithin), c.first.Add(c.owner.sayMost)))
 	if c.line {
 		return
 	}
@@ -300,10 +308,23 @@
 	c.last = p[len(p)-1]
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func (c *clientConn) standing() standing {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := standing{unproven, c.since}
+	switch quiet := time.Since(c.latest); {
+	case c.begun && !c.proven && c.pieces > 1 && quiet < readWithin/2: // it says its request slowly
+		s.rank = coming
+	case c.begun && !c.proven && c.pieces > 0: // it may yet: it counts as a quarter as old as one that is silent
+		s.since = c.latest.Add(quiet * 3 / 4)
+	}
 	switch {
 	case c.serving:
 		s.rank = served
@@ -334,7 +355,7 @@
 func (c *clientConn) idle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.since, c.used, c.serving, c.begun, c.line, c.last = time.Now(), true, false, false, false, 0
+	c.since, c.used, c.serving, c.begun, c.line, c.last, c.pieces = time.Now(), true, false, false, false, 0, 0
 	c.offered = c.owner.giving.Load() != nil
 }
 
