--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -270,6 +270,9 @@
 	d.most[wi.Category] = max(d.most[wi.Category], wi.Left)
 	spent := d.most[wi.Category] - wi.Left
 	it.until = d.now - spent + min(it.cat.Due+it.cat.Stretch*it.Hint, it.cat.Expiry)
+	if wi.Within > 0 { // what is taken must be answered by then
+		it.expiry = min(it.expiry, d.now+wi.Within)
+	}
 	it.until = min(it.until, it.expiry)
 	it.rank = it.cat.Credit
 	if part := d.excess(wi.Tenant); part > 0 && d.chance() < part {
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -75,6 +75,7 @@
 	Category int
 	Tenant   int
 	Left     float64 // until the client gives up
+	Within   float64 // the dispatcher itself ends after this time; 0: it does not
 	Hint     float64 // cost at speed 1; 0: none
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,7 +36,10 @@
 // Times of the program itself, in milliseconds; what the operators set is in the settings.
 const (
 	knownAfter  = 500  // an old list must do when discovery has said nothing for so long
-	acceptAfter = 500  // told to stop, it takes work for so long: clients may not know yet
+	acceptAfter = 500  // told to stop, it takes work for so long at least: clients may not know yet
+	killCap     = 3000 // it is killed after the longest deadline, or this if that is longer,
+	killGrace   = 700  // and this more
+	killMargin  = 200  // all is answered so long before
 	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
 	poolEvery   = 100  // the figures of the workers are at most so old, and a round
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
@@ -56,9 +59,9 @@
 	Watch(number int, addr string, after int64)
 	// Tell sends a message to a sibling, or to all for -1.
 	Tell(to int, data []byte)
-	// Drain makes clients go elsewhere: no connection is kept beyond its next answer. Where another process takes this
-	// one's place it is told what is known, which may be called before Drain returns.
-	Drain(known func() Known)
+	// Drain makes clients go elsewhere: no connection is kept beyond its next deferral. Where another process takes this
+	// one's place it is told what is known, which may be called before Drain returns, and no connection is kept.
+	Drain(known func() Known) (succeeded bool)
 	// Pass asks this dispatcher's other processes about a callback; its Answer is called once.
 	Pass(c Callback)
 	// Dismiss closes the connections that wait for a request.
@@ -220,7 +223,17 @@
 	client *Client
 	hos    []handoff
 	out    int
-	done   bool // the client has its answer, or is gone
+	done   bool    // the client has its answer, or is gone
+	within float64 // this process ends so long after the arrival; 0: it does not
+	came   float64
+}
+
+// expiry is when it must have been answered.
+func (it *item) expiry() float64 {
+	if it.within > 0 {
+		return min(it.client.Expiry, it.came+it.within)
+	}
+	return it.client.Expiry
 }
 
 // due is a moment at which the reducer must act: of a hand-off, of a work item (ho -1), or of none (wi 0).
@@ -275,7 +288,9 @@
 	listed     bool    // discovery itself has spoken
 	startAt    float64
 	drainAt    float64
-	dismissed  bool // no more work is taken
+	lastTake   float64 // told to stop, no more work is taken from then on
+	endAt      float64 // and all that was taken since is answered by then
+	dismissed  bool    // no more work is taken
 }
 
 // Options say what a node is to be.
@@ -426,7 +441,7 @@
 		}
 	case Draining:
 		if !n.dismissed {
-			at = min(at, n.drainAt+acceptAfter)
+			at = min(at, n.lastTake)
 		}
 	}
 	if len(n.inbox) > 0 || n.wake {
@@ -465,7 +480,7 @@
 		}
 	case Succeeded:
 		if n.Phase() == Draining {
-			n.front.Drain(n.known)
+			n.stop()
 		}
 	case Inherited:
 		n.inherit(v.Known)
@@ -492,14 +507,27 @@
 	case Stop:
 		if n.Phase() < Draining {
 			n.enter(Draining)
-			n.drainAt = n.now
-			n.front.Drain(n.known)
+			n.stop()
 		}
 	default:
 		panic(fmt.Sprintf("unknown value %T", v))
 	}
 }
 
+// stop begins the end, anew when a process is there that takes this one's place: then no work is to be taken for longer
+// than clients may not know.
+func (n *Node) stop() {
+	if n.drainAt == 0 {
+		n.drainAt = n.now
+	}
+	last := min(n.usedFor, killCap)
+	n.endAt = n.drainAt + last + killGrace - killMargin
+	n.lastTake = n.drainAt + acceptAfter
+	if !n.front.Drain(n.known) { // else it goes on while what is taken has time to end: there may be nobody else
+		n.lastTake = n.drainAt + max(acceptAfter, last/2)
+	}
+}
+
 func (n *Node) arrived(c *Client) {
 	switch {
 	case n.byID[c.ID] != nil || n.used[0][c.ID] || n.used[1][c.ID]: // a second copy: ids are new with every request
@@ -518,11 +546,14 @@
 		return
 	}
 	n.next++
-	it := &item{wi: n.next, client: c}
+	it := &item{wi: n.next, client: c, came: n.now}
+	if n.Phase() == Draining {
+		it.within = n.endAt - n.now
+	}
 	c.it = it
 	n.items[it.wi], n.byID[c.ID] = it, it
 	n.open++
-	n.at(c.Expiry+n.s.AnswerSlack, it.wi, -1)
+	n.at(it.expiry()+n.s.AnswerSlack, it.wi, -1)
 	n.inbox = append(n.inbox, it)
 }
 
@@ -715,7 +746,7 @@
 			n.enter(Serving)
 		}
 	case Draining:
-		if !n.dismissed && n.now >= n.drainAt+acceptAfter {
+		if !n.dismissed && n.now >= n.lastTake {
 			// Not before: a client whose connection closes would look for a dispatcher where there may be none.
 			n.dismissed = true
 			n.front.Dismiss()
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -39,7 +39,7 @@
 		case *item:
 			c := v.client
 			d.Arrived(dispatch.WorkItem{ID: v.wi, Category: c.Category, Tenant: c.Tenant,
-				Left: max(c.Expiry-n.now, 0), Hint: c.Hint})
+				Left: max(c.Expiry-n.now, 0), Within: v.within, Hint: c.Hint})
 		case left:
 			d.Left(uint64(v))
 		case dispatch.Answer:
@@ -70,7 +70,7 @@
 	if it == nil { // answered, and all its hand-offs have ended
 		return
 	}
-	ho, rest := len(it.hos), it.client.Expiry-n.now
+	ho, rest := len(it.hos), it.expiry()-n.now
 	if patience <= 0 || patience > rest {
 		patience = rest
 	}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -51,7 +51,8 @@
 	giving   atomic.Pointer[func(syscall.Conn) bool] // idle connections are given away
 	gate     gate
 	server   *fasthttp.Server
-	draining atomic.Bool
+	leaving  atomic.Bool // whom a deferral sends elsewhere is not to come again
+	draining atomic.Bool // nobody is
 	mu       sync.Mutex
 	conns    map[*clientConn]bool
 }
@@ -252,6 +253,9 @@
 		conn.unwatch()
 	}
 	encode(ctx, r)
+	if r.Result == node.Deferred && c.leaving.Load() {
+		ctx.SetConnectionClose()
+	}
 	c.count(client.Category, r.Result)
 }
 
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -98,16 +98,22 @@
 // Tell sends a message to siblings.
 func (p *Platform) Tell(to int, data []byte) { p.siblings.tell(to, data) }
 
-// Drain has connections closed with their next answer, and hands over if there is a newer process.
-func (p *Platform) Drain(known func() node.Known) {
-	p.clients.draining.Store(true)
-	if p.o.Exchange != nil {
-		p.o.Exchange.Stop(func() []byte { return encodeKnown(known()) })
+// Drain has connections closed with their next deferral; or hands over, if there is a newer process, and has them closed
+// with their next answer.
+func (p *Platform) Drain(known func() node.Known) (succeeded bool) {
+	p.clients.leaving.Store(true)
+	if p.o.Exchange != nil && p.o.Exchange.Stop(func() []byte { return encodeKnown(known()) }) {
+		p.clients.draining.Store(true)
+		return true
 	}
+	return false
 }
 
-// Dismiss closes connections that wait for a request.
-func (p *Platform) Dismiss() { p.clients.dismiss() }
+// Dismiss closes connections that wait for a request, and the others with their next answer.
+func (p *Platform) Dismiss() {
+	p.clients.draining.Store(true)
+	p.clients.dismiss()
+}
 
 // Close lets requests and answers under way come to their end, for a short time, and ends everything.
 func (p *Platform) Close() {
--- a/internal/takeover/exchange.go
+++ b/internal/takeover/exchange.go
@@ -167,11 +167,14 @@
 	x.running.Wait()
 }
 
-// Stop has this process hand over if there is one to hand over to. What is known is asked for only then, at once.
-func (x *Exchange) Stop(known func() []byte) {
+// Stop has this process hand over if there is one to hand over to, and tells whether it does. What is known is asked for
+// only then, at once.
+func (x *Exchange) Stop(known func() []byte) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.do(x.m.Stop(), known)
+	actions := x.m.Stop()
+	x.do(actions, known)
+	return len(actions) > 0
 }
 
 // do carries out what was decided. The lock is held; nothing here waits for the other process.
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -228,7 +228,7 @@
 func (h *host) Tell(to int, data []byte) { h.p.w.Tell(h.n, to, data) }
 
 // Drain and Dismiss close connections of clients; here each request has its own.
-func (h *host) Drain(func() node.Known) {}
+func (h *host) Drain(func() node.Known) bool { return false }
 
 // Pass has nobody to ask.
 func (h *host) Pass(c node.Callback) { c.Answer(node.NotKnown) }
