--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -398,3 +398,53 @@
 oldest ends: <nil>
 over: 200`)
 }
+
+// TestUpgradeLongJobs: what would still run at the kill goes to the newer process with its client's connection, which
+// serves on; a client that leaves then is noticed there, and the older process ends in time.
+func TestUpgradeLongJobs(t *testing.T) {
+	t.Parallel()
+	w := replaced(t)
+	w.tell(list(1, true, line("w1", w.worker("w1", nil), "in_service"), line("w2", w.worker("w2", nil), "in_service"),
+		line("w3", w.worker("w3", nil), "in_service")))
+	w.begin()
+	w.ready()
+	clients := map[string]*client{}
+	for _, id := range []string{"long", "next", "leaves"} {
+		clients[id] = w.dial()
+		io.WriteString(clients[id], request(id, "/order/x", ""))
+		w.await(": "+id+"\n", 1)
+	}
+	at := func(id string) string { // its worker
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		before, _, _ := strings.Cut(w.log.String(), ": "+id+"\n")
+		return before[len(before)-2:]
+	}
+	for id := range clients {
+		w.back(id, at(id), "started", "")
+	}
+	older := w.beside()
+	begun := time.Now()
+	w.must(older.Process.Signal(syscall.SIGTERM))
+	io.WriteString(clients["next"], "G") // of its next request
+	if err := older.Wait(); err != nil || time.Since(begun) > 3700*time.Millisecond {
+		t.Errorf("the older one ended after %s: %v", time.Since(begun), err)
+	}
+	w.logged("job handed over", 3)
+	clients["leaves"].Close()
+	w.await("DELETE /jobs/leaves", 1)
+	for _, id := range []string{"long", "next"} {
+		if s := w.back(id, at(id), "done", "end of "+id); s != 200 {
+			t.Errorf("callback: %d", s)
+		}
+		if got := clients[id].answer(); got != "200 end of "+id {
+			t.Errorf("%s: %s", id, got)
+		}
+	}
+	if got := clients["next"].ask("ET /ready HTTP/1.1\r\nHost: x\r\n\r\n"); got != "200 serving" {
+		t.Errorf("the connection: %s", got)
+	}
+	if _, body := w.control("counters"); !strings.Contains(body, "ok.order:2|c") || !strings.Contains(body, "active:0|g") {
+		t.Errorf("figures:\n%s", body)
+	}
+}
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -181,3 +181,46 @@
 	}
 	d.resetAt, d.stirred = d.now, true
 }
+
+// Taken is a hand-off that another process made.
+type Taken struct {
+	Worker  string
+	Sent    float64
+	Started float64 // 0: not known to have started
+	Done    bool
+	Unrun   bool // known not to have run
+}
+
+// Adopt takes a work item over with its hand-offs, in the order in which they were made. What is out counts as load, is
+// doubted and moved as any other; the due time is not known, so all of the client's time is there.
+func (d *Dispatcher) Adopt(wi WorkItem, hos []Taken) {
+	it := &item{WorkItem: wi, cat: &d.f.categories[wi.Category], expiry: d.now + wi.Left}
+	if it.Hint, it.guessed = wi.Hint, wi.Hint <= 0; it.guessed {
+		it.Hint = max(d.median, 1)
+	}
+	it.until, it.rank = it.expiry, it.cat.Credit
+	for _, t := range hos {
+		w := d.byID[t.Worker]
+		if w == nil { // not listed here: it is out there, and nothing is sent there
+			w = &worker{Entry: Entry{Worker: t.Worker, Kind: len(d.kinds) - 1, State: Gone}, minGap: math.Inf(1)}
+		}
+		h := handoff{w: w, sent: t.Sent, heard: d.now, started: -1, load: d.load(w) + 1, sight: d.sight, done: t.Done,
+			unrun: t.Unrun}
+		if !h.unrun {
+			it.risk++
+		}
+		if !h.done {
+			it.out++
+			if h.to(&w.waiting); t.Started > 0 || !d.f.tellsStart {
+				h.started = max(t.Started, t.Sent)
+				h.to(&w.running)
+			}
+			h.tellAt = d.now + d.span(w)
+		}
+		it.hos = append(it.hos, h)
+	}
+	d.items[wi.ID] = it
+	d.open = append(d.open, it)
+	d.hold(it)
+	d.arrived = true
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -9,6 +9,7 @@
 	"container/heap"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math"
 	"slices"
 	"sync/atomic"
@@ -40,6 +41,7 @@
 	killCap     = 3000 // it is killed after the longest deadline, or this if that is longer,
 	killGrace   = 700  // and this more
 	killMargin  = 200  // all is answered so long before
+	handEvery   = 50   // what could not be handed over is looked at again after this time
 	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
 	poolEvery   = 100  // the figures of the workers are at most so old, and a round
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
@@ -54,6 +56,8 @@
 type Front interface {
 	// Send starts a hand-off. If the worker does not take it, one Ended follows; if it does, its callbacks tell.
 	Send(s Sending) Attempt
+	// Continue takes up a hand-off that another process made and whose worker has taken it.
+	Continue(s Sending) Attempt
 	// Watch asks discovery at the address for what changed after the revision, or for the whole list and then
 	// for its changes, in place of an earlier watch, until a Broken.
 	Watch(number int, addr string, after int64)
@@ -72,6 +76,8 @@
 type Attempt interface {
 	// GiveUp makes the worker drop it as far as it can; an Ended follows, unless one did already.
 	GiveUp()
+	// Taken tells whether the worker has it: only its callbacks tell more.
+	Taken() bool
 }
 
 // Sending is a hand-off to make.
@@ -106,7 +112,8 @@
 	WrittenOff
 	Overdue // no answer came in time
 	Repeated
-	Gone // the client left: nobody to answer
+	Gone       // the client left: nobody to answer
+	HandedOver // another process answers
 )
 
 // Reply is a client's answer.
@@ -114,6 +121,24 @@
 	Result Result
 	Body   string
 	Pause  float64 // 0: no advice
+	Job    *Job    // what is handed over
+}
+
+// Job is a work item that goes to the process that takes this one's place, with its client's connection.
+type Job struct {
+	ID       string
+	Category int
+	Tenant   int
+	Hint     float64
+	Expiry   float64
+	HandOffs []JobHandOff
+}
+
+// JobHandOff is one of its hand-offs. At most one is out, and its worker has taken it.
+type JobHandOff struct {
+	dispatch.Taken
+	Addr  string // where its worker was found
+	Never bool   // no callback comes of it
 }
 
 // The values that come in by the queue.
@@ -141,6 +166,11 @@
 	}
 	// Succeeded tells that another process waits to take this one's place.
 	Succeeded struct{}
+	// Adopted is a work item that the process had whose place this one takes.
+	Adopted struct {
+		Client *Client
+		Job    Job
+	}
 	// Inherited is what the process knew whose place this one takes.
 	Inherited struct{ Known Known }
 	// Listing is what discovery told.
@@ -187,6 +217,7 @@
 	Learned() dispatch.Learned
 	Recall(dispatch.Learned)
 	Succeed()
+	Adopt(dispatch.WorkItem, []dispatch.Taken)
 }
 
 // CallbackState is what a callback tells.
@@ -214,7 +245,10 @@
 	sent    float64
 	attempt Attempt
 	ended   bool
-	never   bool // it did not reach the worker, or was turned away on its connection: no callback comes
+	never   bool    // it did not reach the worker, or was turned away on its connection: no callback comes
+	unrun   bool    // it proved not to have run
+	started float64 // 0: not known to have
+	addr    string
 }
 
 // item is a work item until its client is answered and all its hand-offs have ended.
@@ -224,6 +258,7 @@
 	hos    []handoff
 	out    int
 	done   bool    // the client has its answer, or is gone
+	handed bool    // or another process has it
 	within float64 // this process ends so long after the arrival; 0: it does not
 	came   float64
 }
@@ -290,6 +325,7 @@
 	drainAt    float64
 	lastTake   float64 // told to stop, no more work is taken from then on
 	endAt      float64 // and all that was taken since is answered by then
+	handAt     float64 // what still runs is handed over then; infinite: to nobody
 	dismissed  bool    // no more work is taken
 }
 
@@ -443,6 +479,7 @@
 		if !n.dismissed {
 			at = min(at, n.lastTake)
 		}
+		at = min(at, n.handAt)
 	}
 	if len(n.inbox) > 0 || n.wake {
 		at = min(at, n.lastAt+n.s.Grain)
@@ -484,6 +521,8 @@
 		}
 	case Inherited:
 		n.inherit(v.Known)
+	case Adopted:
+		n.adopt(v.Client, v.Job)
 	case Listing:
 		n.listing(v)
 	case Broken:
@@ -522,9 +561,9 @@
 	}
 	last := min(n.usedFor, killCap)
 	n.endAt = n.drainAt + last + killGrace - killMargin
-	n.lastTake = n.drainAt + acceptAfter
+	n.lastTake, n.handAt = n.drainAt+acceptAfter, n.drainAt+last
 	if !n.front.Drain(n.known) { // else it goes on while what is taken has time to end: there may be nobody else
-		n.lastTake = n.drainAt + max(acceptAfter, last/2)
+		n.lastTake, n.handAt = n.drainAt+max(acceptAfter, last/2), math.Inf(1)
 	}
 }
 
@@ -595,7 +634,7 @@
 		return
 	}
 	h := &it.hos[ho]
-	h.ended = true
+	h.ended, h.unrun = true, o.ProvesUnrun()
 	it.out--
 	if o == dispatch.Finished {
 		n.answer(it, Reply{Body: result})
@@ -609,7 +648,7 @@
 // one for what has ended, is unknown or is at another worker changes nothing. It tells whether the work item is known.
 func (n *Node) callback(c Callback) bool {
 	it := n.byID[c.ID]
-	if it == nil {
+	if it == nil || it.handed {
 		return false
 	}
 	before := false // an earlier hand-off there may be what it tells of
@@ -620,6 +659,9 @@
 		case h.ended:
 			before = before || !h.never
 		case c.State == Started || c.State == Running:
+			if h.started == 0 {
+				h.started = n.now
+			}
 			n.inbox = append(n.inbox, noticed{it.wi, ho, c.State == Started, c.Share})
 			return true
 		case c.State == Done: // of either: it is the worker's result for this work item
@@ -639,6 +681,50 @@
 	return true
 }
 
+// handOver gives what would be lost at the kill to the process that takes this one's place: work items that wait, and
+// those that are out at one worker, which has taken them.
+func (n *Node) handOver() {
+	for _, wi := range slices.Sorted(maps.Keys(n.items)) {
+		it := n.items[wi]
+		if it.done || it.out > 1 || slices.ContainsFunc(it.hos, func(h handoff) bool { return !h.ended && !h.attempt.Taken() }) {
+			continue
+		}
+		c := it.client
+		j := &Job{ID: c.ID, Category: c.Category, Tenant: c.Tenant, Hint: c.Hint, Expiry: c.Expiry}
+		for _, h := range it.hos {
+			j.HandOffs = append(j.HandOffs, JobHandOff{Addr: h.addr, Never: h.never, Taken: dispatch.Taken{Worker: h.worker,
+				Sent: h.sent, Started: h.started, Done: h.ended, Unrun: h.unrun}})
+		}
+		n.log.Info("takeover", "takeover", "job handed over", "id", c.ID, "out", it.out)
+		it.handed = true
+		n.answer(it, Reply{Result: HandedOver, Job: j})
+	}
+}
+
+// adopt takes such a work item in.
+func (n *Node) adopt(c *Client, j Job) {
+	if n.byID[c.ID] != nil {
+		c.Answer(Reply{Result: Repeated})
+		return
+	}
+	n.next++
+	it := &item{wi: n.next, client: c, came: n.now}
+	c.it = it
+	n.items[it.wi], n.byID[c.ID] = it, it
+	n.open++
+	n.at(it.expiry()+n.s.AnswerSlack, it.wi, -1)
+	for k, t := range j.HandOffs {
+		h := handoff{worker: t.Worker, sent: t.Sent, ended: t.Done, never: t.Never, unrun: t.Unrun, started: t.Started, addr: t.Addr}
+		if !h.ended {
+			it.out++
+			h.attempt = n.front.Continue(Sending{WI: it.wi, HO: k, ID: c.ID, Addr: t.Addr, Message: c.Message})
+			n.at(c.Expiry, it.wi, k)
+		}
+		it.hos = append(it.hos, h)
+	}
+	n.inbox = append(n.inbox, adopted{it, j.HandOffs})
+}
+
 // known is what the process that takes this one's place is told. From then on that one alone warms workers.
 func (n *Node) known() Known {
 	k := Known{Discovery: n.discovery, Revision: n.revision}
@@ -725,7 +811,7 @@
 		switch {
 		case t.wi == 0:
 			n.wake = true
-		case it == nil:
+		case it == nil || it.handed:
 		case t.ho >= 0:
 			if h := &it.hos[t.ho]; !h.ended {
 				n.ended(it, t.ho, dispatch.TimedOut, "")
@@ -751,6 +837,10 @@
 			n.dismissed = true
 			n.front.Dismiss()
 		}
+		if n.now >= n.handAt {
+			n.handAt = n.now + handEvery
+			n.handOver()
+		}
 		if n.dismissed && n.settled() {
 			n.enter(Stopped)
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,7 +23,8 @@
 	at string
 }
 
-func (a asked) GiveUp() { a.s.note("give up %s", a.at) }
+func (a asked) Taken() bool { return !strings.Contains(a.at, "not taken") }
+func (a asked) GiveUp()     { a.s.note("give up %s", a.at) }
 
 func (s *script) note(format string, a ...any) {
 	fmt.Fprintf(&s.log, "%5.0f  "+format+"\n", append([]any{s.now}, a...)...)
@@ -37,8 +38,12 @@
 }
 func (s *script) Tell(to int, data []byte) { s.note("tell %d %x", to, data) }
 func (s *script) Drain(func() Known) bool  { s.note("drain"); return s.succeeded }
-func (s *script) Pass(c Callback)          { s.note("pass %s", c.ID) }
-func (s *script) Dismiss()                 { s.note("dismiss") }
+func (s *script) Continue(x Sending) Attempt {
+	s.note("continue %s hand-off %d at %s", x.ID, x.HO, x.Addr)
+	return asked{s, fmt.Sprintf("%s hand-off %d at %s", x.ID, x.HO, x.Addr)}
+}
+func (s *script) Pass(c Callback) { s.note("pass %s", c.ID) }
+func (s *script) Dismiss()        { s.note("dismiss") }
 
 // at lets values come in at a time, after all that is due before.
 func (s *script) at(now float64, values ...any) {
@@ -198,6 +203,31 @@
 			s.at(3525)
 			s.note("phase %s", s.Phase())
 		}},
+		{"near its end beside a newer process: hands over what runs, once it is taken, and knows it no more", func(s *script) {
+			s.succeeded = true
+			s.at(1010, s.client("a", 1, 5000))
+			s.at(1020, Callback{ID: "a", From: "w1", State: Started}, s.client("not taken", 1, 5000))
+			s.at(1030, Stop{})
+			s.at(3029)
+			s.at(3030)
+			s.at(3040, Callback{ID: "a", From: "w1", State: Done, Answer: func(Applied) {}})
+			s.at(6010)
+			s.note("phase %s", s.Phase())
+		}},
+		{"takes a job over that another process had: its callback answers, or its client's time ends it", func(s *script) {
+			job := func(id string, expiry float64) Adopted {
+				c := s.client(id, 1, 0).Client
+				c.Expiry = expiry
+				return Adopted{c, Job{ID: id, Category: 1, Expiry: expiry, HandOffs: []JobHandOff{
+					{Addr: "at-w2", Taken: dispatch.Taken{Worker: "w2", Sent: 500, Done: true, Unrun: true}},
+					{Addr: "at-w1", Taken: dispatch.Taken{Worker: "w1", Sent: 600, Started: 610}}}}}
+			}
+			s.at(1010, Inherited{Known{Used: []string{"a"}}}, job("a", 3000))
+			s.at(1020, s.client("b", 1, 2000))
+			s.at(1030, Callback{ID: "a", From: "w1", State: Done, Result: "r"})
+			s.at(1040, job("c", 1500))
+			s.at(1505)
+		}},
 		{"told to stop beside a newer process: takes work for half a second, as that one takes it", func(s *script) {
 			s.succeeded = true
 			s.at(1010, Listing{Watch: 1, Revision: 5})
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -16,6 +16,10 @@
 		start bool
 		share float64
 	}
+	adopted struct {
+		it  *item
+		hos []JobHandOff
+	}
 	listed struct {
 		form    dispatch.Form
 		members []Member
@@ -48,6 +52,16 @@
 			d.Noticed(v.wi, v.ho, v.start, v.share)
 		case Heard:
 			d.Heard(v.From, v.Data)
+		case adopted:
+			if to, ok := d.(learner); ok {
+				var hos []dispatch.Taken
+				for _, h := range v.hos {
+					hos = append(hos, h.Taken)
+				}
+				c := v.it.client
+				to.Adopt(dispatch.WorkItem{ID: v.it.wi, Category: c.Category, Tenant: c.Tenant,
+					Left: max(c.Expiry-n.now, 0), Hint: c.Hint}, hos)
+			}
 		case dispatch.Learned:
 			if to, ok := d.(learner); ok {
 				to.Recall(v)
@@ -83,7 +97,7 @@
 	case !known: // it left the list
 		n.ended(it, ho, dispatch.ConnectFailed, "")
 	default:
-		it.hos[ho].never = false
+		it.hos[ho].never, it.hos[ho].addr = false, addr
 		it.hos[ho].attempt = n.front.Send(Sending{WI: wi, HO: ho, ID: it.client.ID, Addr: addr,
 			Message: it.client.Message, Patience: patience})
 		n.at(n.now+patience, wi, ho)
@@ -92,7 +106,7 @@
 
 // Cancel gives a hand-off up; its end comes when the worker has been told, unless another comes first.
 func (n *Node) Cancel(wi uint64, ho int) {
-	if it := n.items[wi]; it != nil && ho >= 0 && ho < len(it.hos) && !it.hos[ho].ended {
+	if it := n.items[wi]; it != nil && !it.handed && ho >= 0 && ho < len(it.hos) && !it.hos[ho].ended {
 		it.hos[ho].attempt.GiveUp()
 	}
 }
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -46,9 +46,10 @@
 	sayMost  time.Duration // a request is there whole within this time
 	figures  *figures.Figures
 	listener *net.TCPListener
-	most     atomic.Int64                            // connections
-	passing  bool                                    // callbacks may be another process's
-	giving   atomic.Pointer[func(syscall.Conn) bool] // idle connections are given away
+	most     atomic.Int64                                         // connections
+	hand     func(conn *clientConn, j *node.Job, m *message) bool // gives a job to another process
+	passing  bool                                                 // callbacks may be another process's
+	giving   atomic.Pointer[func(syscall.Conn) bool]              // idle connections are given away
 	gate     gate
 	server   *fasthttp.Server
 	leaving  atomic.Bool // whom a deferral sends elsewhere is not to come again
@@ -252,6 +253,12 @@
 		}
 		conn.unwatch()
 	}
+	if r.Result == node.HandedOver && c.hand(conn, r.Job, client.Message.(*message)) {
+		c.figures.Left()
+		ctx.HijackSetNoResponse(true) // the connection is not ended by closing it here
+		ctx.Hijack(func(net.Conn) {})
+		return
+	}
 	encode(ctx, r)
 	if r.Result == node.Deferred && c.leaving.Load() {
 		ctx.SetConnectionClose()
@@ -266,7 +273,7 @@
 		c.figures.Ended(category, figures.OK)
 	case node.Deferred:
 		c.figures.Ended(category, figures.Shed)
-	case node.WrittenOff, node.Overdue:
+	case node.WrittenOff, node.Overdue, node.HandedOver: // which failed
 		c.figures.Ended(category, figures.Error)
 	case node.Repeated, node.Gone: // no job of its own; nobody to answer
 		c.figures.Left()
@@ -333,7 +340,7 @@
 		if r.Pause > 0 {
 			ctx.Response.Header.Set("Retry-After", strconv.FormatFloat(r.Pause/1000, 'f', 3, 64))
 		}
-	case node.WrittenOff:
+	case node.WrittenOff, node.HandedOver:
 		ctx.Error("written off: it may have run\n", fasthttp.StatusBadGateway)
 	case node.Overdue:
 		ctx.Error("no answer in time\n", fasthttp.StatusGatewayTimeout)
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -111,6 +111,12 @@
 // enter takes a connection in, and makes room for it.
 func (c *clients) enter(conn net.Conn) *clientConn {
 	cc := &clientConn{Conn: conn, owner: c, since: time.Now(), offered: c.giving.Load() != nil}
+	c.register(cc)
+	return cc
+}
+
+// register counts a connection, and makes room for it.
+func (c *clients) register(cc *clientConn) {
 	c.mu.Lock()
 	c.conns[cc] = true
 	c.mu.Unlock()
@@ -122,12 +128,15 @@
 	for int64(c.server.GetOpenConnectionsCount()) >= 2*c.most.Load() { // those that were closed have yet to end
 		time.Sleep(time.Millisecond)
 	}
-	return cc
 }
 
 // adopt serves a connection that another process accepted.
 func (c *clients) adopt(conn net.Conn) {
-	cc := c.enter(conn)
+	c.serveOn(c.enter(conn))
+}
+
+// serveOn serves what comes next on a connection that this listener did not accept.
+func (c *clients) serveOn(cc *clientConn) {
 	if err := c.server.ServeConn(cc); err != nil && !errors.Is(err, io.EOF) {
 		slog.Debug("adopted", "err", err)
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -73,6 +73,7 @@
 		p.siblings.close()
 		return nil, fmt.Errorf("start: %w", err)
 	}
+	p.clients.hand = p.hand
 	for _, f := range o.Found { // the parts have copies
 		f.Close()
 	}
@@ -90,6 +91,9 @@
 // Send starts a hand-off.
 func (p *Platform) Send(s node.Sending) node.Attempt { return p.workers.send(s) }
 
+// Continue takes up a hand-off that another process made.
+func (p *Platform) Continue(s node.Sending) node.Attempt { return p.workers.adopt(s) }
+
 // Watch opens a watch on discovery.
 func (p *Platform) Watch(number int, addr string, after int64) {
 	p.discovery.watch(number, addr, after)
--- a/internal/platform/takeover.go
+++ b/internal/platform/takeover.go
@@ -4,6 +4,7 @@
 package platform
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"github.com/valyala/fasthttp"
 	"golang.org/x/sys/unix"
 
 	"weldmast/internal/node"
@@ -165,6 +167,79 @@
 // Succeeded tells the node that a newer process is there.
 func (p *Platform) Succeeded() { p.node.Queue(node.Succeeded{}) }
 
+const lookAgain = 100 * time.Millisecond // a job that is handed over has arrived by then
+
+// goods is a job as one process gives it to the other, beside its client's connection.
+type goods struct {
+	Job        node.Job
+	Head, Body []byte
+	Ahead      []byte // of the client's next request
+}
+
+// hand gives a job away.
+func (p *Platform) hand(conn *clientConn, j *node.Job, m *message) bool {
+	text, err := json.Marshal(goods{*j, m.head, m.body, conn.ahead})
+	if err == nil {
+		err = p.o.Exchange.Hand(conn.Conn.(syscall.Conn), text)
+	}
+	if err != nil {
+		slog.Warn("takeover", "takeover", "a job stays", "id", j.ID, "err", err)
+	}
+	return err == nil
+}
+
+// AdoptJob answers a job that the older process gave away.
+func (p *Platform) AdoptJob(conn net.Conn, text []byte) {
+	var g goods
+	if err := json.Unmarshal(text, &g); err != nil || g.Job.Category >= len(p.o.Expiries) {
+		slog.Warn("takeover", "takeover", "a job cannot be read", "err", err)
+		conn.Close()
+		return
+	}
+	// Queued here, so that the node has it before it hears that the older process has ended.
+	cc := &clientConn{Conn: conn, owner: p.clients, since: time.Now(), begun: true, serving: true, proven: true, ahead: g.Ahead}
+	client := &node.Client{ID: g.Job.ID, Category: g.Job.Category, Tenant: g.Job.Tenant, Hint: g.Job.Hint,
+		Expiry: g.Job.Expiry, Message: &message{g.Head, g.Body}}
+	reply := make(chan node.Reply, 1)
+	client.Answer = func(r node.Reply) { reply <- r }
+	p.clients.figures.Taken()
+	p.node.Queue(node.Adopted{Client: client, Job: g.Job})
+	go p.clients.finish(cc, client, reply)
+}
+
+// finish answers an adopted job and goes on with its connection.
+func (c *clients) finish(cc *clientConn, client *node.Client, reply chan node.Reply) {
+	c.register(cc)
+	r := node.Reply{Result: node.WrittenOff}
+	cc.watch(func() { c.node.Queue(node.Departed{Client: client}) })
+	select {
+	case r = <-reply:
+	case <-c.node.Done():
+	}
+	cc.unwatch()
+	if r.Result == node.HandedOver && c.hand(cc, r.Job, client.Message.(*message)) {
+		c.figures.Left()
+		cc.Close()
+		return
+	}
+	var ctx fasthttp.RequestCtx
+	encode(&ctx, r)
+	c.count(client.Category, r.Result)
+	out := bufio.NewWriter(cc)
+	cc.SetWriteDeadline(time.Now().Add(readWithin))
+	err := ctx.Response.Write(out)
+	if err == nil {
+		err = out.Flush()
+	}
+	if err != nil || ctx.Response.ConnectionClose() || c.draining.Load() {
+		cc.Close()
+		return
+	}
+	cc.SetWriteDeadline(time.Time{})
+	cc.idle()
+	c.serveOn(cc)
+}
+
 // told is a callback as one process tells it the other.
 type told struct {
 	ID, From string
@@ -183,7 +258,22 @@
 		c.Answer(node.NotKnown)
 		return
 	}
-	p.o.Exchange.Pass(text, c.Newer, c.Older, func(a takeover.Answer) { c.Answer(answers[a]) })
+	if c.Newer && c.Older {
+		c.Answer(node.NotKnown)
+		return
+	}
+	p.o.Exchange.Pass(text, c.Newer, c.Older, func(a takeover.Answer) {
+		if a != takeover.NotKnown || c.Older || !p.o.Exchange.Beside() {
+			c.Answer(answers[a])
+			return
+		}
+		// The older process may have handed it over this moment: it is looked for here once more.
+		time.AfterFunc(lookAgain, func() {
+			if c.Newer, c.Older = true, true; !p.node.Queue(c) {
+				c.Answer(node.NotKnown)
+			}
+		})
+	})
 }
 
 // Callback takes one that another process did not know.
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -285,6 +285,18 @@
 	return a
 }
 
+// adopt is a hand-off that another process made.
+func (w *workers) adopt(s node.Sending) node.Attempt {
+	return &attempt{w: w, s: s, cancel: func() {}, written: true, taken: true}
+}
+
+// Taken tells whether the worker answered that it has it.
+func (a *attempt) Taken() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.taken && !a.given
+}
+
 func (a *attempt) run(ctx context.Context) {
 	defer a.cancel()
 	conn, err := a.w.get(ctx, a.s.Addr)
--- a/internal/takeover/exchange.go
+++ b/internal/takeover/exchange.go
@@ -35,6 +35,8 @@
 	GiveIdle(give func(syscall.Conn) bool)
 	// Adopt serves a connection that was given away there.
 	Adopt(net.Conn)
+	// AdoptJob answers a job that was given away there, on its client's connection. The node knows it when this returns.
+	AdoptJob(c net.Conn, text []byte)
 	// Share keeps to half of the bounds, or to all of them.
 	Share(half bool)
 	// Inherit takes what the older process knew.
@@ -64,6 +66,7 @@
 	listener *net.UnixListener
 	file     fs.FileInfo // of the path while it is this process's
 	closed   bool
+	alone    time.Time // when the older process ended
 	running  sync.WaitGroup
 }
 
@@ -204,7 +207,7 @@
 					l.conn.Close() // its reader ends it
 					return
 				}
-				x.host.GiveIdle(func(c syscall.Conn) bool { return l.give(sayConn, c) == nil })
+				x.host.GiveIdle(func(c syscall.Conn) bool { return l.give(sayConn, nil, c) == nil })
 			})
 		}
 	}
@@ -296,7 +299,7 @@
 	}
 	x.newer = l
 	x.do(actions, nil)
-	if err := l.give(sayWelcome, x.host.Sockets()...); err != nil {
+	if err := l.give(sayWelcome, nil, x.host.Sockets()...); err != nil {
 		slog.Warn("takeover", "takeover", "the newer process left", "err", err)
 		conn.Close() // its reader ends it
 	}
@@ -336,6 +339,12 @@
 					x.host.Adopt(conn)
 				}
 			}
+		case sayJob:
+			if len(files) == 1 {
+				if conn, err := net.FileConn(files[0]); err == nil {
+					x.host.AdoptJob(conn, append([]byte(nil), rest...))
+				}
+			}
 		case sayAsk:
 			if len(rest) < 8 {
 				break
@@ -362,11 +371,32 @@
 		x.newer = nil
 		x.do(x.m.NewerGone(), nil)
 	} else {
-		x.older = nil
+		x.older, x.alone = nil, time.Now()
 		x.do(x.m.OlderGone(), nil)
 	}
 }
 
+// Hand gives a job away with its client's connection.
+func (x *Exchange) Hand(c syscall.Conn, text []byte) error {
+	x.mu.Lock()
+	l := x.newer
+	x.mu.Unlock()
+	switch {
+	case l == nil:
+		return errors.New("there is no newer process")
+	case len(text) >= packetMost:
+		return errors.New("it is too large")
+	}
+	return l.give(sayJob, text, c)
+}
+
+// Beside tells whether an older process is there, or was until a moment ago.
+func (x *Exchange) Beside() bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.older != nil || time.Since(x.alone) < askWithin
+}
+
 // Pass asks the other processes about a callback that this one does not know: down the line if it came from a newer one,
 // up if from an older, both if from a worker. It does not wait; answer is called once.
 func (x *Exchange) Pass(text []byte, fromNewer, fromOlder bool, answer func(Answer)) {
--- a/internal/takeover/link.go
+++ b/internal/takeover/link.go
@@ -25,6 +25,7 @@
 	sayYours    = 'y' // all parts are there
 	sayConn     = 'c' // with a client's connection
 	sayFollowed = 'f' // whether a newer process is there
+	sayJob      = 'j' // with a client's connection, and the job that it waits for
 	sayAsk      = 'a' // a number of eight bytes, and a callback
 	sayKnown    = 'k' // a number of eight bytes, and an Answer
 )
@@ -97,13 +98,13 @@
 	return err
 }
 
-// give sends a connection or listener; it stays open here as well.
-func (l *link) give(what byte, sockets ...syscall.Conn) error {
+// give sends connections or listeners; they stay open here as well.
+func (l *link) give(what byte, text []byte, sockets ...syscall.Conn) error {
 	var fds []int
 	var pass func(rest []syscall.Conn) error
 	pass = func(rest []syscall.Conn) error {
 		if len(rest) == 0 {
-			return l.say(what, nil, fds...)
+			return l.say(what, text, fds...)
 		}
 		raw, err := rest[0].SyscallConn()
 		if err != nil {
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -216,6 +216,12 @@
 // GiveUp has the worker drop it.
 func (a attempt) GiveUp() { a.w.GiveUp(a.h) }
 
+// Taken: each is at once.
+func (a attempt) Taken() bool { return true }
+
+// Continue has nobody to take one over from.
+func (h *host) Continue(s node.Sending) node.Attempt { return h.Send(s) }
+
 // Send starts a hand-off.
 func (h *host) Send(s node.Sending) node.Attempt {
 	return attempt{h.p.w, h.p.w.Send(h.n, s.ID, s.Addr, s)}
