Tests of what one process tells the next: learned values, one cold budget, jobs that go over

Need: Learned, Recall and Adopt were tested through the program only. Change: TestLearned (round trip by the link's form, a worker that started anew), TestSucceeded (the budget of a cold worker spent by the older one binds the newer; exclusive work is not sent twice).

--- /dev/null
+++ b/internal/dispatch/learned_test.go
@@ -0,0 +1,99 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"weldmast/internal/kept"
+)
+
+// succeed is a newer process's dispatcher with the same list, told what the older one knows by the form of the link.
+func (tr *trace) succeed(t *testing.T, s Settings, list []Entry) *trace {
+	text, err := json.Marshal(tr.d.Learned())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var l Learned
+	if err := json.Unmarshal(text, &l); err != nil {
+		t.Fatal(err)
+	}
+	tr.d.Succeed()
+	next := start(t, s)
+	next.at(tr.now, func(d *Dispatcher) { d.Listed(Complete, list) })
+	next.at(tr.now+1, func(d *Dispatcher) { d.Recall(l) })
+	return next
+}
+
+// TestLearned: what one process knows the next one knows, hand-offs that are out as leases; a worker that started anew
+// meanwhile is another.
+func TestLearned(t *testing.T) {
+	s := plain()
+	s.Siblings, s.Tenants = 3, []Tenant{{PerSec: 100}}
+	tr := start(t, s)
+	tr.learn()
+	tr.at(tr.now+5, func(d *Dispatcher) {
+		d.Heard(1, d.pack(named(d, "s1"), 3000))
+		d.Arrived(WorkItem{ID: 1, Left: 5000, Hint: 100})
+		d.Arrived(WorkItem{ID: 2, Left: 5000, Hint: 400, Category: 1})
+	})
+	tr.at(tr.now+5, func(d *Dispatcher) { tr.end(1, 0, Failed) })
+	var list []Entry
+	for _, w := range tr.d.workers {
+		list = append(list, w.Entry)
+	}
+	next := tr.succeed(t, s, list)
+	was, is := tr.d.Learned(), next.d.Learned()
+	if len(was.Workers) != 4 || was.Sampled == 0 || len(was.Workers[2].Out)+len(was.Workers[3].Out) < 2 {
+		t.Fatalf("little was learned: %+v", was)
+	}
+	if diff := cmp.Diff(was, is, cmpopts.EquateApprox(0, 2), cmpopts.SortSlices(func(a, b Lease) bool { return a.Till < b.Till })); diff != "" {
+		t.Errorf("the next knows otherwise (-was +is):\n%s", diff)
+	}
+	list[0].Since = tr.now
+	for _, w := range tr.succeed(t, s, list).d.Learned().Workers {
+		if w.Worker == list[0].Worker && (w.MinGap != 0 || w.Slow != 0 || w.Sent.Epoch != 0) {
+			t.Errorf("a new process counts as its forerunner: %+v", w)
+		}
+	}
+}
+
+// TestSucceeded: two processes of a dispatcher keep one budget of a cold worker; a job that goes over is not sent twice,
+// and moved if it may be.
+func TestSucceeded(t *testing.T) {
+	s := plain()
+	s.Siblings, s.Categories[0].Due = 4, 5000
+	list := []Entry{{Worker: "f1", Since: 99000}}
+	tr := start(t, s)
+	tr.at(100000, func(d *Dispatcher) { d.Listed(Complete, list) })
+	tr.run(1, 0, 100, 690)
+	spent := tr.now
+	tr.say("the older one has spent the budget of the window; neither sends in what is left of it")
+	next := tr.succeed(t, s, list)
+	alone := start(t, s)
+	alone.at(spent, func(d *Dispatcher) { d.Listed(Complete, list) })
+	for _, one := range []*trace{tr, next, alone} {
+		one.at(spent+10, func(d *Dispatcher) { d.Arrived(WorkItem{ID: 10, Tenant: -1, Left: 5000, Hint: 100}) })
+		one.at(spent+300, func(*Dispatcher) {})
+	}
+	tr.note("the newer one sent %d, one that was told nothing %d", next.sum["f1"], alone.sum["f1"])
+	tr.at(spent+2000, func(*Dispatcher) {})
+	next.at(spent+2000, func(*Dispatcher) {})
+	tr.note("after the window: the newer one %d", next.sum["f1"])
+
+	over := start(t, plain())
+	over.up("f1", "f2")
+	at := over.now
+	taken := []Taken{{Worker: "gone", Sent: at - 900, Done: true, Unrun: true}, {Worker: "f1", Sent: at - 500, Started: at - 490}}
+	over.at(at+5, func(d *Dispatcher) {
+		d.Adopt(WorkItem{ID: 1, Category: 1, Tenant: -1, Left: 9000, Hint: 100}, taken)
+		d.Adopt(WorkItem{ID: 2, Category: 0, Tenant: -1, Left: 9000, Hint: 100}, taken)
+	})
+	over.say("both stand still; the exclusive one is left alone, the other is moved")
+	over.at(at+4000, func(*Dispatcher) {})
+	over.at(at+4010, func(d *Dispatcher) { over.end(2, 1, Cancelled) })
+	over.at(at+4020, func(d *Dispatcher) { over.end(1, 1, Finished) })
+	kept.Check(t, "succeeded", tr.log.String()+over.log.String())
+}
