--- a/cmd/weldlab/main_test.go
+++ b/cmd/weldlab/main_test.go
@@ -163,3 +163,36 @@
 		t.Errorf("%v\n%s", err, out)
 	}
 }
+
+// TestReplacedAndFlooded: each dispatcher is replaced under load, and each is flooded while one stops, in days on sockets:
+// the rules hold over both processes as one; no job of the first meets a connection that is refused, reset or left unread,
+// and the flood keeps none from being answered.
+func TestReplacedAndFlooded(t *testing.T) {
+	for _, day := range []string{"upgrade", "flood"} {
+		logs, json1 := t.TempDir(), filepath.Join(t.TempDir(), "r.jsonl")
+		code, out, errs := play("run", "../../lab/"+day+".toml", "--sockets", "--set", `length="8s"`, "--logs", logs, "--json", json1,
+			"--program", filepath.Join(programs, "weldmast"), "--late-p99", "1000", "--late-most", "10000")
+		var r struct {
+			Jobs     int
+			Outcomes struct{ Finished, Refused int }
+		}
+		text, err := os.ReadFile(json1)
+		if err == nil {
+			err = json.Unmarshal(text, &r)
+		}
+		if code != 0 || err != nil || !strings.Contains(out, "rules kept") || r.Jobs < 1000 {
+			t.Fatalf("%s ended with %d, %v, %+v:\n%s%s", day, code, err, r, out, errs)
+		}
+		handed := 0
+		for k := range 3 {
+			text, _ := os.ReadFile(filepath.Join(logs, fmt.Sprintf("n%d.log", k)))
+			handed += strings.Count(string(text), `takeover="handed over"`)
+		}
+		if day == "upgrade" && (handed != 3 || r.Outcomes.Finished != r.Jobs || !strings.Contains(out, "tries 1.00")) {
+			t.Errorf("%d replaced, %+v:\n%s", handed, r, out)
+		}
+		if day == "flood" && r.Outcomes.Finished+r.Outcomes.Refused != r.Jobs {
+			t.Errorf("beside the flood: %+v\n%s", r, out)
+		}
+	}
+}
--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -426,7 +426,7 @@
 	older := w.beside()
 	begun := time.Now()
 	w.must(older.Process.Signal(syscall.SIGTERM))
-	io.WriteString(clients["next"], "G") // of its next request
+	io.WriteString(clients["next"], "G")                                                          // of its next request
 	if err := older.Wait(); err != nil || time.Since(begun) > 3700*time.Millisecond && !raced() { // the detector waits a second at the exit
 		t.Errorf("the older one ended after %s: %v", time.Since(begun), err)
 	}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -17,6 +17,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -107,6 +108,7 @@
 	peerAt    *net.UDPAddr
 	relays    []*net.UDPConn // by sibling: where this dispatcher finds it; its own: to all
 	cmd       *exec.Cmd
+	all       []*exec.Cmd // those before it as well
 	up        bool
 	began     time.Time
 	usage     Usage
@@ -406,51 +408,125 @@
 		r.failed = err
 		return
 	}
-	cmd := exec.Command(r.o.Program, "serve")
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_DISCOVERY=", "WELDMAST_FILE="+r.o.File)
+	cmd, _ := r.launch(h)
+	if cmd == nil {
+		return
+	}
+	h.cmd, h.up, h.began = cmd, true, time.Now()
+	r.running.Go(func() {
+		r.whenReady("http://"+h.listen+"/ready", func() {
+			if h.cmd == cmd && h.up {
+				r.w.Ready(d)
+				if p, err := procfs.NewProc(cmd.Process.Pid); err == nil {
+					if s, err := p.Stat(); err == nil {
+						h.usage.IdleMB = float64(s.ResidentMemory()) / (1 << 20)
+					}
+				}
+			}
+		})
+	})
+}
+
+// launch runs one more process of a dispatcher; nil: the lab failed. Only where processes take each other's place do they
+// have an address for operators and a folder to meet in.
+func (r *rig) launch(h *host) (cmd *exec.Cmd, ops string) {
+	cmd = exec.Command(r.o.Program, "serve")
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_OPS=", "ROUTER_DISCOVERY=", "WELDMAST_FILE="+r.o.File)
+	if slices.ContainsFunc(r.x.Faults, func(f world.Fault) bool { return f.What == "dispatcher_upgrade" }) {
+		temp := filepath.Join(r.dir, strconv.Itoa(h.n))
+		var err error
+		if ops, err = freeAddr(); err == nil {
+			err = os.MkdirAll(temp, 0o700)
+		}
+		if err != nil {
+			r.failed = fmt.Errorf("dispatcher: %w", err)
+			return nil, ""
+		}
+		cmd.Env = append(cmd.Env, "ROUTER_OPS="+ops, "TMPDIR="+temp)
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none outlives the lab
 	if r.o.Logs != "" {
-		f, err := os.OpenFile(filepath.Join(r.o.Logs, fmt.Sprintf("n%d.log", d)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
+		f, err := os.OpenFile(filepath.Join(r.o.Logs, fmt.Sprintf("n%d.log", h.n)), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o644)
 		if err != nil {
 			r.failed = fmt.Errorf("logs: %w", err)
-			return
+			return nil, ""
 		}
 		defer f.Close()
 		cmd.Stderr = f
 	}
 	if err := cmd.Start(); err != nil {
 		r.failed = fmt.Errorf("dispatcher: %w", err)
-		return
+		return nil, ""
 	}
-	h.cmd, h.up, h.began = cmd, true, time.Now()
 	r.running.Go(func() {
 		_ = cmd.Wait() // how it ended shows in its state
 		r.do(func() { r.exited(h, cmd) })
 	})
+	h.all = append(h.all, cmd)
+	return cmd, ops
+}
+
+// whenReady has something done on the world's goroutine once a process says that it is ready.
+func (r *rig) whenReady(url string, then func()) {
+	for began := time.Now(); time.Since(began) < readyWithin && r.ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
+		resp, err := r.client.Get(url)
+		if err != nil {
+			continue
+		}
+		resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			r.do(then)
+			return
+		}
+	}
+}
+
+// Upgrade starts a process beside the one that serves. Once it is ready the older one is told to stop, and is killed
+// when the time that it has is over.
+func (r *rig) Upgrade(d int) {
+	h := r.hosts[d]
+	if !h.up {
+		return
+	}
+	cmd, ops := r.launch(h)
+	if cmd == nil {
+		return
+	}
 	r.running.Go(func() {
-		for began := time.Now(); time.Since(began) < readyWithin && r.ctx.Err() == nil; time.Sleep(5 * time.Millisecond) {
-			resp, err := r.client.Get("http://" + h.listen + "/ready")
-			if err != nil {
-				continue
-			}
-			resp.Body.Close()
-			if resp.StatusCode == http.StatusOK {
-				r.do(func() {
-					if h.cmd == cmd && h.up {
-						r.w.Ready(d)
-						if p, err := procfs.NewProc(cmd.Process.Pid); err == nil {
-							if s, err := p.Stat(); err == nil {
-								h.usage.IdleMB = float64(s.ResidentMemory()) / (1 << 20)
-							}
-						}
-					}
-				})
+		r.whenReady("http://"+ops+"/control/ready", func() {
+			if !h.up {
 				return
 			}
-		}
+			older := h.cmd
+			h.cmd = cmd
+			_ = older.Process.Signal(syscall.SIGTERM)
+			time.AfterFunc(killAfter, func() { _ = older.Process.Kill() }) // one that has ended needs none
+		})
 	})
 }
 
+const killAfter = 3700 * time.Millisecond // after SIGTERM: the longest deadline, 3 s at most, and a grace
+
+// Flood opens connections that never say a whole request: half of them say nothing, half the beginning of one.
+func (r *rig) Flood(d int, rate, span float64) {
+	h := r.hosts[d]
+	for k := range int(rate * span / 1000) {
+		time.AfterFunc(time.Duration(float64(k)/rate*1e9), func() {
+			c, err := net.Dial("tcp4", h.listen)
+			if err != nil {
+				r.ranOut(err)
+				return
+			}
+			defer c.Close()
+			if k%2 == 0 {
+				_, _ = c.Write([]byte("POST /flood HTTP/1.1\r\nHost: x\r\n")) // the dispatcher may have closed it
+			}
+			_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+			_, _ = c.Read(make([]byte, 1))
+		})
+	}
+}
+
 // exited notes the end of a process, whether or not it was killed.
 func (r *rig) exited(h *host, cmd *exec.Cmd) {
 	if s := cmd.ProcessState; s != nil {
@@ -468,8 +544,15 @@
 // Kill ends a process at once.
 func (r *rig) Kill(d int) {
 	if h := r.hosts[d]; h.up {
-		h.up = false
-		_ = h.cmd.Process.Kill()
+		h.kill()
+	}
+}
+
+// kill ends all processes of a dispatcher.
+func (h *host) kill() {
+	h.up = false
+	for _, c := range h.all {
+		_ = c.Process.Kill() // one that has ended needs none
 	}
 }
 
@@ -492,8 +575,7 @@
 	}
 	for _, h := range r.hosts {
 		if h.up {
-			h.up = false
-			_ = h.cmd.Process.Kill()
+			h.kill()
 		}
 	}
 	r.stop()
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -204,7 +204,12 @@
 // Down as Up.
 func (p *port) Down(string) {}
 
-func (p *port) Stop(d int)   { p.to(d, node.Stop{}) }
+func (p *port) Stop(d int) { p.to(d, node.Stop{}) }
+
+// Upgrade and Flood are of processes and connections, which there are none of here.
+func (p *port) Upgrade(int)                 {}
+func (p *port) Flood(int, float64, float64) {}
+
 func (p *port) Reload(d int) { p.to(d, node.Moved{Discovery: "discovery"}) }
 
 // attempt is a hand-off that the node has out.
--- a/internal/world/crook_test.go
+++ b/internal/world/crook_test.go
@@ -135,14 +135,16 @@
 	}
 	c.w.Ready(d)
 }
-func (c *crook) Broken(int, int)          {}
-func (c *crook) Message(int, int, []byte) {}
-func (c *crook) Start(d int, _ []Member)  { c.w.Watch(d, 1, -1) }
-func (c *crook) Up(string)                {}
-func (c *crook) Down(string)              {}
-func (c *crook) Kill(int)                 {}
-func (c *crook) Stop(int)                 {}
-func (c *crook) Reload(int)               {}
+func (c *crook) Broken(int, int)             {}
+func (c *crook) Message(int, int, []byte)    {}
+func (c *crook) Start(d int, _ []Member)     { c.w.Watch(d, 1, -1) }
+func (c *crook) Up(string)                   {}
+func (c *crook) Down(string)                 {}
+func (c *crook) Kill(int)                    {}
+func (c *crook) Stop(int)                    {}
+func (c *crook) Reload(int)                  {}
+func (c *crook) Upgrade(int)                 {}
+func (c *crook) Flood(int, float64, float64) {}
 
 const crooked = `
 length = "4s"
--- a/internal/world/direct.go
+++ b/internal/world/direct.go
@@ -32,13 +32,15 @@
 func (p *Direct) Start(d int, _ []Member) { p.W.Ready(d) }
 
 // Leave and all below: it knows no trouble.
-func (p *Direct) Leave(int, *Try)          {}
-func (p *Direct) Ended(int, *HandOff, End) {}
-func (p *Direct) List(int, Listing)        {}
-func (p *Direct) Broken(int, int)          {}
-func (p *Direct) Message(int, int, []byte) {}
-func (p *Direct) Up(string)                {}
-func (p *Direct) Down(string)              {}
-func (p *Direct) Kill(int)                 {}
-func (p *Direct) Stop(int)                 {}
-func (p *Direct) Reload(int)               {}
+func (p *Direct) Leave(int, *Try)             {}
+func (p *Direct) Ended(int, *HandOff, End)    {}
+func (p *Direct) List(int, Listing)           {}
+func (p *Direct) Broken(int, int)             {}
+func (p *Direct) Message(int, int, []byte)    {}
+func (p *Direct) Up(string)                   {}
+func (p *Direct) Down(string)                 {}
+func (p *Direct) Kill(int)                    {}
+func (p *Direct) Stop(int)                    {}
+func (p *Direct) Reload(int)                  {}
+func (p *Direct) Upgrade(int)                 {}
+func (p *Direct) Flood(int, float64, float64) {}
--- a/internal/world/experiment.go
+++ b/internal/world/experiment.go
@@ -128,7 +128,7 @@
 type Fault struct {
 	At     Span    `toml:"at" min:"0" need:"true"`
 	For    Span    `toml:"for" min:"0"`
-	What   string  `toml:"what" need:"true" oneof:"kill vanish site_loss cut drain deploy slow neighbour fail tail burst discovery_silent discovery_late messages_lost messages_late callbacks_repeat callbacks_late dispatcher_kill dispatcher_stop dispatcher_reload clock_jump"`
+	What   string  `toml:"what" need:"true" oneof:"kill vanish site_loss cut drain deploy slow neighbour fail tail burst discovery_silent discovery_late messages_lost messages_late callbacks_repeat callbacks_late dispatcher_kill dispatcher_stop dispatcher_reload dispatcher_upgrade clients_flood clock_jump"`
 	Site   string  `toml:"site"`
 	Kind   string  `toml:"kind"`
 	Tenant string  `toml:"tenant"`
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -185,6 +185,18 @@
 				w.port.Reload(d.n)
 			}
 		}
+	case "dispatcher_upgrade":
+		for k, d := range w.among(f) {
+			w.After(span*float64(k), func() {
+				if d.up {
+					w.port.Upgrade(d.n)
+				}
+			})
+		}
+	case "clients_flood":
+		for _, d := range w.among(f) {
+			w.port.Flood(d.n, amount(200), max(span, 1000))
+		}
 	case "clock_jump": // workers' machines: what they say of their start is off by so much
 		hit := w.hit(f)
 		for _, x := range hit {
@@ -199,7 +211,7 @@
 		w.mark("%s", f.What)
 	}
 	switch f.What {
-	case "deploy", "dispatcher_stop", "dispatcher_kill", "dispatcher_reload", "clock_jump":
+	case "deploy", "dispatcher_stop", "dispatcher_kill", "dispatcher_reload", "dispatcher_upgrade", "clock_jump":
 	default:
 		if span > 0 {
 			w.After(span, func() { w.mark("%s ends", f.What) })
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -37,6 +37,9 @@
 	Kill(d int)
 	Stop(d int)
 	Reload(d int)
+	// Upgrade has a newer process take its place. Flood opens connections that never say a whole request, so many a second.
+	Upgrade(d int)
+	Flood(d int, rate, span float64)
 }
 
 // End is how a hand-off's connection ends.
