A worker that the list drops without draining stays in the draw, by what it answers

Change: safety.only_draining_binds from either wire (a mistyped value is told by its key); drop, weight and fail in the module; the real program keeps such a worker's address.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -1256,6 +1256,7 @@
 		{"no settings", `"settings"`, `"nothing"`},
 		{"setting missing", `"fall":`, `"fallen":`},
 		{"setting wrong", `"fall_multiple":3.0`, `"fall_multiple":"three"`},
+		{"setting mistyped", `"fall":`, `"only_draining_binds":"sometimes","fall":`},
 		{"semantics", `"once"`, `"twice"`},
 		{"known", `"known":null`, `"known":{"revision":"x"}`},
 	} {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -15,19 +15,21 @@
 )
 
 const (
-	sampleSize = 512  // hints remembered for the cutoff
-	resetEvery = 5000 // time between cutoff resets
-	fitPace    = 0.1  // smoothing of how many fit, for each start
-	kindPace   = 0.05 // smoothing of a kind's speed, for each answer
-	latePace   = 0.1  // smoothing of the share of starts that are late, near and far
-	workerPace = 0.25 // the same for a worker beside its kind
-	queuePace  = 0.2  // smoothing of the wait at a kind, for each start
-	queueHalf  = 2000 // it halves in this time without a start
-	leakStep   = 0.02 // rise of the leak for each refusal of a slow worker
-	leakHalf   = 5000 // the leak halves in this time
-	sureAfter  = 8    // answers after which a kind's speed is relied on
-	suspectFor = 1e4  // a worker that failed work is drawn last for this time
-	trialFirst = 500  // first time out of the draw after a failure; doubles with each in a row
+	sampleSize = 512    // hints remembered for the cutoff
+	resetEvery = 5000   // time between cutoff resets
+	fitPace    = 0.1    // smoothing of how many fit, for each start
+	kindPace   = 0.05   // smoothing of a kind's speed, for each answer
+	latePace   = 0.1    // smoothing of the share of starts that are late, near and far
+	workerPace = 0.25   // the same for a worker beside its kind
+	queuePace  = 0.2    // smoothing of the wait at a kind, for each start
+	queueHalf  = 2000   // it halves in this time without a start
+	leakStep   = 0.02   // rise of the leak for each refusal of a slow worker
+	leakHalf   = 5000   // the leak halves in this time
+	sureAfter  = 8      // answers after which a kind's speed is relied on
+	suspectFor = 1e4    // a worker that failed work is drawn last for this time
+	lostAfter  = 3      // failures in a row after which a worker that the list has dropped counts as gone
+	leastStep  = 1. / 8 // least weight in the draw of one that it has dropped
+	trialFirst = 500    // first time out of the draw after a failure; doubles with each in a row
 
 	mostShare  = 32    // dispatchers that share a worker, at most
 	mostWarm   = 8     // those of them that may send there while it is cold, at most; so many share it at least
@@ -221,11 +223,17 @@
 	}
 	if form != Changes {
 		for _, w := range d.workers {
-			w.State = Gone
+			d.drop(w)
 		}
 	}
 	for _, e := range entries {
 		w := d.byID[e.Worker]
+		if e.State == Gone {
+			if w != nil {
+				d.drop(w)
+			}
+			continue
+		}
 		if w == nil {
 			w = &worker{minGap: math.Inf(1), last: math.Inf(-1), hash: hash(e.Worker)}
 			w.sharers = d.deal(w.hash)
@@ -240,12 +248,24 @@
 		if e.Kind < 0 || e.Kind >= len(d.kinds) {
 			e.Kind = len(d.kinds) - 1
 		}
-		w.Entry = e
+		w.Entry, w.dropped = e, false
 	}
 	d.resetAt, d.stirred = d.now, true
 	d.share()
 }
 
+// drop takes a worker off the list. Where only draining binds that is evidence, no proof: one that was up stays in
+// the draw by steps, as it answers. This guards against lists that are empty, old or lack live workers, from
+// whatever cause; it could cost a few hand-offs that never ran at each worker that is gone indeed.
+func (d *Dispatcher) drop(w *worker) {
+	switch {
+	case !d.f.onlyDraining || w.State != Up: // one seen as draining stays bound when a later list forgets it
+		w.State = Gone
+	case !w.dropped:
+		w.dropped, w.step, w.fails = true, 1, min(w.fails, 1)
+	}
+}
+
 // Arrived takes a new work item.
 func (d *Dispatcher) Arrived(wi WorkItem) {
 	it := &item{WorkItem: wi, cat: &d.f.categories[wi.Category], expiry: d.now + wi.Left}
@@ -419,7 +439,7 @@
 	k.free = max(k.free, int(a.Load.Free))
 	switch a.Outcome {
 	case Finished:
-		w.fails, w.outTill, w.full = 0, 0, 0
+		w.fails, w.outTill, w.full, w.step = 0, 0, 0, min(1, 2*w.step)
 		run := a.Spent
 		if h.started >= 0 {
 			run = d.now - h.started // its running time; without notices, its latency
@@ -467,7 +487,9 @@
 
 // fail takes a worker out of the draw, the longer the more failures it had in a row.
 func (d *Dispatcher) fail(w *worker) {
-	w.fails++
+	if w.fails++; w.dropped && w.fails >= lostAfter { // list and worker say the same
+		w.State, w.dropped, d.resetAt = Gone, false, d.now
+	}
 	w.outTill = d.now + min(trialFirst*math.Exp2(float64(w.fails-1)), d.f.cold)
 }
 
@@ -480,17 +502,17 @@
 // Pool tells how many workers are listed, and how many of those that are up this dispatcher avoids now.
 func (d *Dispatcher) Pool() (listed, avoided int) {
 	for _, w := range d.workers {
-		if w.State != Gone {
+		if w.State != Gone && !w.dropped {
 			listed++
 		}
-		if w.State == Up && (d.ejected(w) || d.suspected(w)) {
+		if w.State == Up && !w.dropped && (d.ejected(w) || d.suspected(w)) {
 			avoided++
 		}
 	}
 	return listed, avoided
 }
 
-// Succeed has another process in this one's place from now on, with what Learned told: the budget of cold workers is its.
+// Succeed has another process in this one's place from now on, with what Learned told: cold workers are its.
 func (d *Dispatcher) Succeed() { d.succeeded = true }
 
 func (d *Dispatcher) leakNow() float64 { return d.leak * math.Exp2((d.leakAt-d.now)/leakHalf) }
@@ -772,17 +794,25 @@
 	mean /= float64(len(d.fit))
 	d.fit = slices.DeleteFunc(d.fit, func(w *worker) bool { return float64(d.load(w)) > mean })
 	for _, w := range d.fit {
-		total += d.kinds[w.Kind].each
+		total += d.weight(w)
 	}
 	x := d.chance() * total
 	for _, w := range d.fit {
-		if x -= d.kinds[w.Kind].each; x < 0 {
+		if x -= d.weight(w); x < 0 {
 			return w
 		}
 	}
 	return nil
 }
 
+// weight is a worker's in the draw: its kind's capacity, and less of it while the list has dropped it.
+func (d *Dispatcher) weight(w *worker) float64 {
+	if w.dropped {
+		return w.step * d.kinds[w.Kind].each
+	}
+	return d.kinds[w.Kind].each
+}
+
 // hasCredit: a worker earns credit by starting and answering what it was given. One hand-off that
 // has not started takes it away, and so do failures in a row and standing still.
 func (d *Dispatcher) hasCredit(w *worker) bool {
@@ -843,8 +873,8 @@
 	return true
 }
 
-// sure is a warm worker's capacity as far as it can be relied on: where starts are not told, how many fit is a
-// guess, and the first answers of a kind may be far from its hints.
+// sure is a warm worker's capacity as far as it can be relied on: where starts are not told, how many fit is
+// a guess, and the first answers of a kind may be far from its hints.
 func (d *Dispatcher) sure(k *kind) float64 {
 	capacity := k.each
 	if !d.f.tellsStart {
@@ -869,7 +899,7 @@
 		return false
 	}
 	w.sent.add(d.now, d.f.fall, max(it.Hint, d.mean))
-	w.last = d.now
+	w.last, w.step = d.now, max(w.step/2, leastStep)
 	h := handoff{w: w, sent: d.now, heard: d.now, started: -1, load: d.load(w) + 1, sight: d.sight}
 	if h.to(&w.waiting); !d.f.tellsStart {
 		h.started = d.now
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -26,6 +26,7 @@
 	MaxHandOffs  int
 	AnswerSlack  float64
 	AskWithin    float64
+	OnlyDraining bool    // a worker that is called gone, or left out, is not bound by that
 	StartShare   float64 // least part of its capacity with which a worker starts
 	Cold         float64 // it is warm after this time at the latest
 	FallMultiple float64
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -14,6 +14,7 @@
 	nearFirst    bool
 	tellsStart   bool
 	mustAsk      bool
+	onlyDraining bool
 	mayTell      bool
 	mayCancel    bool
 	copies       bool
@@ -36,7 +37,7 @@
 	parts := min(siblings, mostShare)
 	f := figures{categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
 		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
-		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, mayTell: s.MayTell,
+		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, onlyDraining: s.OnlyDraining, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
 		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askMost: s.AskWithin, askAgain: askAgain * s.AskWithin,
 		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
@@ -119,6 +120,8 @@
 	slowAt      float64
 	fails       int // in a row
 	outTill     float64
+	dropped     bool    // the list lacks it or calls it gone, which does not bind
+	step        float64 // its weight in the draw while dropped: 1 or less
 	suspectTill float64 // drawn last until then
 	sent        ring    // cost sent to it in the last fall window
 	last        float64 // time of the last hand-off
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -754,7 +754,9 @@
 		n.use(id)
 	}
 	if len(k.Members) > 0 && (!n.listed || k.Discovery == n.discovery && k.Revision > n.revision) {
-		clear(n.addrs)
+		if !n.s.OnlyDraining {
+			clear(n.addrs)
+		}
 		n.take(k.Members)
 		n.inbox = append(n.inbox, listed{dispatch.Restored, k.Members})
 	}
@@ -765,7 +767,10 @@
 
 func (n *Node) take(members []Member) {
 	for _, m := range members {
-		if n.addrs[m.Worker] = m.Addr; m.State == dispatch.Gone {
+		switch {
+		case m.State != dispatch.Gone:
+			n.addrs[m.Worker] = m.Addr
+		case !n.s.OnlyDraining: // else it may still be sent to where it was
 			delete(n.addrs, m.Worker)
 		}
 	}
@@ -777,8 +782,9 @@
 	}
 	form := dispatch.Changes
 	if l.Complete {
-		form = dispatch.Complete
-		clear(n.addrs)
+		if form = dispatch.Complete; !n.s.OnlyDraining {
+			clear(n.addrs)
+		}
 	}
 	n.take(l.Members)
 	n.revision = l.Revision
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -120,6 +120,16 @@
 
 func (r *reader) yes(key string) bool { return r.text(key) == "true" || r.text(key) == "1" }
 
+// whether is yes, where another value than one of the two must not pass for no.
+func (r *reader) whether(key string) bool {
+	switch r.text(key) {
+	case "", "true", "1", "false", "0":
+	default:
+		r.fail(key, "is neither true nor false")
+	}
+	return r.yes(key)
+}
+
 // must names a setting without which no dispatcher can keep the rules.
 func (r *reader) must(keys ...string) {
 	for _, k := range keys {
@@ -145,7 +155,8 @@
 		SecondCopies: r.yes("allowed.second_copies"), MaxPause: r.ms("allowed.max_retry_after"),
 		MaxHandOffs: int(r.num("allowed.max_hand_offs", 1)), AnswerSlack: r.ms("safety.answer_slack"),
 		AskWithin: r.ms("safety.ask_within"), StartShare: r.num("safety.start_capacity", 0),
-		Cold: r.ms("safety.cold"), FallMultiple: r.num("safety.fall_multiple", 1), Fall: r.ms("safety.fall")}
+		OnlyDraining: r.whether("safety.only_draining_binds"),
+		Cold:         r.ms("safety.cold"), FallMultiple: r.num("safety.fall_multiple", 1), Fall: r.ms("safety.fall")}
 	l := Links{Idle: r.ms("allowed.conn_idle"), Connect: r.ms("allowed.connect_timeout"),
 		MaxOpen: int(r.num("allowed.open_cap", 0))}
 	for _, x := range []string{"x0", "x1"} {
--- a/internal/simwire/simwire_test.go
+++ b/internal/simwire/simwire_test.go
@@ -45,6 +45,7 @@
 		{clock + "power_off\ti=4\n", "line 2: instance 4 was never configured"},
 		{clock + "client_left\ti=4\tjob=1\n", "line 2: instance 4 is not configured"},
 		{clock + "configure\ti=3\tnonce64=5\n", "line 2: configure: categories.count is missing"},
+		{clock + strings.TrimSuffix(configure, "\n") + "\tsafety.only_draining_binds=maybe\n", "line 2: configure: safety.only_draining_binds is neither true nor false"},
 		{clock + configure + "dance\ti=3\ncommit\n", `line 3: unknown message "dance"`},
 		{clock + configure + "req\ti=3\tjob=1\tlane=other\ttime_left=5\ncommit\n", "line 3: req: lane is not a known category"},
 		{clock + configure + "req\ti=3\tjob=1\tlane=plan\ncommit\n", "line 3: req: time_left is missing"},
