--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -448,3 +448,38 @@
 		t.Errorf("figures:\n%s", body)
 	}
 }
+
+// TestUpgradeBounds: while two processes are there each keeps to half of the descriptors, against a flood as well; the one
+// that is left has all of them again.
+func TestUpgradeBounds(t *testing.T) {
+	w := replaced(t)
+	w.sockets = 256
+	w.tell(list(1, true, line("w1", w.finishing("w1"), "in_service")))
+	w.begin()
+	w.ready()
+	used := func(p *exec.Cmd) int {
+		fds, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.Process.Pid))
+		w.must(err)
+		return len(fds)
+	}
+	flood := func() {
+		for range 300 {
+			w.dial()
+		}
+	}
+	older := w.beside()
+	flood()
+	time.Sleep(100 * time.Millisecond) // those that gave way are closed by then
+	if a, b := used(older), used(w.cmd); a > 128 || a < 64 || b > 128 {
+		t.Errorf("%d and %d descriptors of 256", a, b)
+	}
+	w.must(w.cmd.Process.Kill())
+	w.cmd.Wait()
+	w.logged("the other process has ended", 1)
+	flood()
+	time.Sleep(100 * time.Millisecond)
+	if n := used(older); n <= 128 || n > 256 {
+		t.Errorf("%d descriptors of 256 once it is alone", n)
+	}
+	w.cmd = older
+}
