--- a/internal/platform/takeover.go
+++ b/internal/platform/takeover.go
@@ -176,14 +176,14 @@
 	Ahead      []byte // of the client's next request
 }
 
-// hand gives a job away.
+// hand gives a job away. Where that fails its client is answered as for one that may have run.
 func (p *Platform) hand(conn *clientConn, j *node.Job, m *message) bool {
 	text, err := json.Marshal(goods{*j, m.head, m.body, conn.ahead})
 	if err == nil {
 		err = p.o.Exchange.Hand(conn.Conn.(syscall.Conn), text)
 	}
 	if err != nil {
-		slog.Warn("takeover", "takeover", "a job stays", "id", j.ID, "err", err)
+		slog.Warn("takeover", "takeover", "a job could not go over", "id", j.ID, "err", err)
 	}
 	return err == nil
 }
--- a/internal/takeover/machine.go
+++ b/internal/takeover/machine.go
@@ -14,7 +14,7 @@
 // The actions.
 const (
 	Take    Action = iota // accept, hear siblings, listen for the next process
-	Welcome               // give the newer process the sockets: done before all else
+	Welcome               // give the newer process the sockets, once what stands before is done
 	Yield                 // stop accepting and hand over what is known, then the idle connections
 	Resume                // accept again: the newer process died
 	Report                // tell the older process whether there is a newer one now
--- a/internal/takeover/machine_test.go
+++ b/internal/takeover/machine_test.go
@@ -161,3 +161,29 @@
 		}
 	})
 }
+
+// TestMiddleDies: of three processes the middle one dies before it hands over; it had told the oldest of the newest, so
+// that only the newest accepts. Had there been none, the oldest would.
+func TestMiddleDies(t *testing.T) {
+	for _, followed := range []bool{true, false} {
+		var oldest, middle, newest Machine
+		oldest.Start(false)
+		oldest.Hello(Version, true)
+		middle.Start(true)
+		oldest.Stop()
+		middle.Yours()
+		if followed {
+			if _, do := middle.Hello(Version, true); len(do) == 0 || do[0] != Report {
+				t.Fatalf("told of a newer one: %v, wanted the report first", do)
+			}
+			oldest.Followed(true)
+			newest.Start(true)
+		}
+		if got := slices.Contains(oldest.NewerGone(), Resume); got == followed {
+			t.Errorf("one follows: %v; the oldest accepts: %v", followed, got)
+		}
+		if followed && !slices.Contains(newest.OlderGone(), Take) {
+			t.Error("nobody accepts")
+		}
+	}
+}
