--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -634,7 +634,8 @@
 		lost = d.now-h.heard > d.f.still
 	default:
 		// Elsewhere a cancel may leave the work in the queue, and the worker only looks free.
-		late = d.f.copies && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
+		// Nor is the last hand-off spent on it: that is for what is lost.
+		late = d.f.copies && len(it.hos)+1 < d.f.maxHandOffs && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
 		ahead := h.load
 		if d.sight == unseen { // as much again may be there
 			ahead += d.kinds[h.w.Kind].slots()
