--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -52,8 +52,8 @@
 	f := derive(s)
 	d := &Dispatcher{f: f, askGap: f.askFirst, byID: map[string]*worker{}, items: map[uint64]*item{},
 		resetAt: -1, shares: f.parts, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1),
-		most:     make([]float64, len(s.Categories)),
-		arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
+		most:  make([]float64, len(s.Categories)),
+		homes: map[uint64]*home{}, arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
 		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
 		d.chance()
@@ -124,7 +124,7 @@
 	d.untold = float64(d.shares*d.shares) / (mostShare * mostShare)
 	stranded := true // then it goes to any, though never to a cold one
 	for _, w := range d.workers {
-		w.mine = w.place < d.shares
+		w.mine = d.f.keyed || w.place < d.shares
 		stranded = stranded && !(w.mine && w.State == Up)
 	}
 	d.part = d.part[:0]
@@ -291,6 +291,14 @@
 	} else if it.Hint, it.guessed = d.median, true; it.Hint == 0 {
 		it.Hint = it.cat.Due / 2 // nothing is known of size: room is left, or any retry would seem too late
 	}
+	if d.f.keyed && wi.Key != "" {
+		it.key = hash(wi.Key)
+		if len(d.keys) < sampleSize {
+			d.keys = append(d.keys, 0)
+		}
+		d.keys[d.keyed%sampleSize] = it.key
+		d.keyed++
+	}
 	// A retry counts from its first try: what is gone of the time that a first try has is past.
 	d.most[wi.Category] = max(d.most[wi.Category], wi.Left)
 	spent := d.most[wi.Category] - wi.Left
@@ -651,7 +659,7 @@
 		return
 	}
 	other := func(w *worker) bool { return w != h.w && d.useful(it, w) }
-	if lost || late && slices.ContainsFunc(d.part, other) {
+	if lost || late && (it.key == 0 && slices.ContainsFunc(d.part, other) || it.key != 0 && slices.ContainsFunc(d.home(it.key).lanes[0], other) || it.key != 0 && slices.ContainsFunc(d.home(it.key).lanes[1], other)) {
 		h.moved = true
 		d.out.Cancel(it.ID, ho)
 	}
@@ -659,6 +667,7 @@
 
 // reset learns the lanes and the cutoff anew, and forgets workers that are gone.
 func (d *Dispatcher) reset() {
+	clear(d.homes)
 	d.resetAt = d.now + resetEvery
 	d.workers = slices.DeleteFunc(d.workers, func(w *worker) bool {
 		done := w.State == Gone && w.waiting+w.running == 0
@@ -806,7 +815,7 @@
 		}
 		for _, l := range [2]int{lane, 1 - lane} {
 			for _, near := range [2]bool{true, false} {
-				if near && (!d.f.nearFirst || d.sight == unseen && d.lateNear >= d.lateFar) {
+				if near && (!d.f.nearFirst || it.key != 0 || d.sight == unseen && d.lateNear >= d.lateFar) {
 					continue
 				}
 				if w := d.draw(it, l, near, k%2 > 0); w != nil {
@@ -823,14 +832,23 @@
 // other zones while crossing has a price and the lane has a useful worker near.
 func (d *Dispatcher) draw(it *item, lane int, near, suspects bool) *worker {
 	d.fit = d.fit[:0]
-	mean, total := 0.0, 0.0
-	for _, w := range d.ready {
+	total, from, most := 0.0, d.ready, len(d.ready)
+	if it.key != 0 {
+		h := d.home(it.key)
+		from, most = h.lanes[lane], h.most[lane]
+	}
+	for _, w := range from {
 		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) &&
 			(suspects || !d.suspected(w)) && d.useful(it, w) {
-			d.fit = append(d.fit, w)
-			mean += float64(d.load(w))
+			if d.fit = append(d.fit, w); len(d.fit) == most {
+				break
+			}
 		}
 	}
+	mean := 0.0
+	for _, w := range d.fit {
+		mean += float64(d.load(w))
+	}
 	mean /= float64(len(d.fit))
 	d.fit = slices.DeleteFunc(d.fit, func(w *worker) bool { return float64(d.load(w)) > mean })
 	for _, w := range d.fit {
@@ -845,6 +863,50 @@
 	return nil
 }
 
+const alpha = 1.5
+
+// A home holds the workers of each lane that a key is dealt to, first ones first.
+type home struct {
+	lanes [2][]*worker
+	most  [2]int // so many of them are drawn from
+}
+
+// home deals workers to a key: an order drawn for it by weighted rendezvous hashing, so that all dispatchers
+// deal alike without a word. Work is drawn among the first that are useful, as many as its part of the traffic
+// asks for: a worker keeps what few keys stand for, and a fetch holds its slot.
+func (d *Dispatcher) home(key uint64) *home {
+	if h := d.homes[key]; h != nil {
+		return h
+	}
+	h := &home{}
+	d.homes[key] = h
+	count := 0.0
+	for _, k := range d.keys {
+		if k == key {
+			count++
+		}
+	}
+	type place struct {
+		w   *worker
+		far float64
+	}
+	for lane := range h.lanes {
+		var order []place
+		for _, w := range d.part {
+			if w.State == Up && d.kinds[w.Kind].lane == lane {
+				x := mix(w.hash ^ key)
+				order = append(order, place{w, -math.Log((float64(x>>11)+1)/(1<<53)) / d.kinds[w.Kind].each})
+			}
+		}
+		slices.SortFunc(order, func(a, b place) int { return cmp.Compare(a.far, b.far) })
+		h.most[lane] = max(1, int(math.Round(alpha*(count-math.Sqrt(count))/float64(len(d.keys))*float64(len(order)))))
+		for _, p := range order[:min(len(order), max(wantPart, 2*h.most[lane]))] {
+			h.lanes[lane] = append(h.lanes[lane], p.w)
+		}
+	}
+	return h
+}
+
 // weight is a worker's in the draw: its kind's capacity, and less of it while the list has dropped it.
 func (d *Dispatcher) weight(w *worker) float64 {
 	if w.dropped {
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -11,6 +11,7 @@
 	Number       int     // this one's among them, from 0
 	Zone         int
 	NearFirst    bool // handing off to another zone has a price
+	Keyed        bool // a fetch of what a work item's key stands for has a price
 	Kinds        int
 	Categories   []Category
 	Tenants      []Tenant
@@ -78,6 +79,7 @@
 	Left     float64 // until the client gives up
 	Within   float64 // the dispatcher itself ends after this time; 0: it does not
 	Hint     float64 // cost at speed 1; 0: none
+	Key      string  // what it is about, of which a worker keeps some; empty: nothing
 }
 
 // Outcome is how a hand-off ended.
@@ -134,6 +136,7 @@
 	Cell   int
 	State  State
 	Since  float64 // clock time of its last start; 0: long ago
+	Weight float64 // as listed, beside those of others; 0: none
 }
 
 // Form says what a listing holds.
--- a/internal/dispatch/shape_test.go
+++ b/internal/dispatch/shape_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 )
@@ -24,3 +25,82 @@
 		}
 	}
 }
+
+// keyed runs a pool of dispatchers that have no word of one another, with as many workers as do; each key is asked for in
+// turn at each of them. It tells at how many workers each key's work ran, the most of them and on the mean.
+func keyed(t *testing.T, keyed bool, keys int) (most int, mean float64) {
+	at := map[string]map[string]bool{}
+	for number := range 40 {
+		s := plain()
+		s.Seed, s.Siblings, s.Number, s.Keyed, s.Categories[0].Due = uint64(number+1), 40, number, keyed, 5000
+		tr := start(t, s)
+		var names []string
+		for k := range 40 {
+			names = append(names, "f"+strconv.Itoa(k))
+		}
+		tr.up(names...)
+		for id := range uint64(keys * 8) {
+			key := "key" + strconv.Itoa(int(id)%keys)
+			tr.at(tr.now+5, func(d *Dispatcher) {
+				d.Arrived(WorkItem{ID: id, Tenant: -1, Left: 5000, Hint: 20, Key: key})
+			})
+			if at[key] == nil {
+				at[key] = map[string]bool{}
+			}
+			at[key][tr.d.items[id].hos[0].w.Worker] = true
+			tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+			tr.at(tr.now+20, func(*Dispatcher) { tr.end(id, 0, Finished) })
+		}
+	}
+	for _, workers := range at {
+		most = max(most, len(workers))
+		mean += float64(len(workers)) / float64(keys)
+	}
+	return most, mean
+}
+
+// TestKeysHaveHomes: all dispatchers send a key's work to the same few workers, which keep what it stands for; where keys
+// cost nothing each draws among its own share. A key that is all of the traffic is not kept to a few.
+func TestKeysHaveHomes(t *testing.T) {
+	if most, mean := keyed(t, true, 40); mean > 4 || most > 8 {
+		t.Errorf("40 keys: each at %.1f of 40 workers, the widest at %d", mean, most)
+	}
+	if _, mean := keyed(t, false, 40); mean < 30 {
+		t.Errorf("40 keys that cost nothing: each at %.1f of 40 workers", mean)
+	}
+	if most, _ := keyed(t, true, 1); most < 30 {
+		t.Errorf("one key for all: at %d of 40 workers", most)
+	}
+}
+
+// TestKeyMovesOn: while its first worker is busy a key's work goes to the next in its order, and back when it is free.
+func TestKeyMovesOn(t *testing.T) {
+	s := plain()
+	s.Keyed, s.Categories[0].Due = true, 5000
+	tr := start(t, s)
+	tr.up("f1", "f2", "f3", "f4", "f5", "f6", "f7", "f8")
+	where := map[uint64]string{}
+	send := func(id uint64, key string) {
+		tr.at(tr.now+5, func(d *Dispatcher) {
+			d.Arrived(WorkItem{ID: id, Tenant: -1, Left: 5000, Hint: 50, Key: key})
+		})
+		where[id] = tr.d.items[id].hos[0].w.Worker
+	}
+	end := func(id uint64) {
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+		tr.at(tr.now+50, func(*Dispatcher) { tr.end(id, 0, Finished) })
+	}
+	for id := uint64(100); id < 180; id++ { // the keys of this one are one in eight of all
+		send(id, "key"+strconv.Itoa(int(id%8)))
+		end(id)
+	}
+	tr.at(tr.now+6000, func(*Dispatcher) {})
+	send(1, "key1")
+	send(2, "key1")
+	end(1)
+	end(2)
+	send(3, "key1")
+	if where[1] == where[2] || where[1] != where[3] {
+		t.Errorf("sent to %s, while that was busy to %s, then to %s", where[1], where[2], where[3])
+	}
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -12,6 +12,7 @@
 	parts        int // of all dispatchers; one of each may share a worker
 	zone         int
 	nearFirst    bool
+	keyed        bool
 	tellsStart   bool
 	mustAsk      bool
 	onlyDraining bool
@@ -37,7 +38,7 @@
 	parts := min(siblings, mostShare)
 	f := figures{categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
 		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
-		nearFirst: s.NearFirst, tellsStart: s.TellsStart, mustAsk: s.MustAsk, onlyDraining: s.OnlyDraining, mayTell: s.MayTell,
+		nearFirst: s.NearFirst, keyed: s.Keyed, tellsStart: s.TellsStart, mustAsk: s.MustAsk, onlyDraining: s.OnlyDraining, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
 		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askMost: s.AskWithin, askAgain: askAgain * s.AskWithin,
 		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
@@ -177,9 +178,10 @@
 	ended   bool // has its final answer
 	stream  bool
 	held    bool
-	seen    bool    // was looked at while held
-	excess  bool    // beyond its tenant's share
-	guessed bool    // it has no hint
+	seen    bool // was looked at while held
+	excess  bool // beyond its tenant's share
+	guessed bool // it has no hint
+	key     uint64
 	failed  *worker // where it failed first
 	bad     bool    // it is taken to fail anywhere
 }
@@ -201,6 +203,9 @@
 	held      []*item // by rank, then arrival
 	most      []float64
 	sample    []float64 // hints, a ring
+	keys      []uint64  // of the last work items, a ring
+	homes     map[uint64]*home
+	keyed     int
 	sampled   int
 	sight     int     // are siblings seen?
 	lateNear  float64 // share of hand-offs in this zone that start late, smoothed
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -247,7 +247,7 @@
 		r := record{worker: string(f.text("worker")), zone: string(f.opt("locality")),
 			kind: string(f.opt("machine"))}
 		r.entry = dispatch.Entry{Worker: r.worker, Cell: int(f.intOr("stripe", 0)),
-			Since: f.timeOr("up_since", 0)}
+			Since: f.timeOr("up_since", 0), Weight: f.numOr("rating", 0)}
 		switch state := string(f.text("state")); state {
 		case "up":
 		case "draining":
@@ -303,7 +303,7 @@
 	case "req":
 		wi := dispatch.WorkItem{ID: f.id("job"), Category: n.names.category(f),
 			Tenant: find(n.names.Tenants, f.opt("realm")), Left: f.time("time_left"),
-			Hint: f.timeOr("predicted", 0)}
+			Hint: f.timeOr("predicted", 0), Key: string(f.opt("partition_key"))}
 		if f.err == nil {
 			d.Arrived(wi)
 		}
