--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -38,6 +38,7 @@
 	mostShare  = 32    // dispatchers that share a worker, at most
 	mostWarm   = 8     // those of them that may send there while it is cold, at most; so many share it at least
 	wantPart   = 10    // workers that a dispatcher wants to draw from
+	spare      = 1.5   // workers for a key's work, of what its part of all work fills
 	unheard    = 3000  // siblings are unseen when none was heard for this time
 	tenantSpan = 5000  // time over which a tenant's arrivals are counted
 	weighSpan  = 60000 // time over which this dispatcher's traffic is weighed against that of siblings
@@ -863,8 +864,6 @@
 	return nil
 }
 
-const alpha = 1.5
-
 // A home holds the workers of each lane that a key is dealt to, first ones first.
 type home struct {
 	lanes [2][]*worker
@@ -873,7 +872,8 @@
 
 // home deals workers to a key: an order drawn for it by weighted rendezvous hashing, so that all dispatchers
 // deal alike without a word. Work is drawn among the first that are useful, as many as its part of the traffic
-// asks for: a worker keeps what few keys stand for, and a fetch holds its slot.
+// asks for, out of twice as many; else it waits. A worker keeps what few keys stand for; a fetch holds a slot and
+// slows all other fetches, so that work that went anywhere in a rush would keep the rush up.
 func (d *Dispatcher) home(key uint64) *home {
 	if h := d.homes[key]; h != nil {
 		return h
@@ -899,8 +899,8 @@
 			}
 		}
 		slices.SortFunc(order, func(a, b place) int { return cmp.Compare(a.far, b.far) })
-		h.most[lane] = max(1, int(math.Round(alpha*(count-math.Sqrt(count))/float64(len(d.keys))*float64(len(order)))))
-		for _, p := range order[:min(len(order), max(wantPart, 2*h.most[lane]))] {
+		h.most[lane] = max(1, int(math.Round(spare*(count-math.Sqrt(count))/float64(len(d.keys))*float64(len(order)))))
+		for _, p := range order[:min(len(order), 2*h.most[lane])] {
 			h.lanes[lane] = append(h.lanes[lane], p.w)
 		}
 	}
