--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -226,6 +226,7 @@
 			d.watched, d.asked, d.askGap = true, d.now, d.f.askFirst
 		}
 	}
+	fleet := form != Changes
 	if form != Changes {
 		for _, w := range d.workers {
 			d.drop(w)
@@ -236,6 +237,7 @@
 		if e.State == Gone {
 			if w != nil {
 				d.drop(w)
+				fleet = true
 			}
 			continue
 		}
@@ -253,10 +255,20 @@
 		if e.Kind < 0 || e.Kind >= len(d.kinds) {
 			e.Kind = len(d.kinds) - 1
 		}
+		if d.f.liveWeights && e.Weight > 0 {
+			k := &d.kinds[e.Kind]
+			k.size = max(k.size, e.Weight)
+			w.told = k.size/e.Weight - 1
+		}
+		old := w.Entry
+		old.Weight = e.Weight
+		fleet = fleet || old != e || w.dropped // more than weights
 		w.Entry, w.dropped = e, false
 	}
-	d.resetAt, d.stirred = d.now, true
-	d.share()
+	if d.stirred = true; fleet {
+		d.resetAt = d.now
+		d.share()
+	}
 }
 
 // drop takes a worker off the list. Where only draining binds that is evidence, no proof: one that was up
@@ -471,6 +483,13 @@
 			return
 		}
 		// By logarithms, so that work far costlier than its hint moves the speed by little.
+		if d.f.keyed { // a fetch takes the same for small work and large: counted as speed, small work would come late
+			k.fetch += (max(0, run-it.Hint*math.Exp(k.slow+d.slowness(w))) - k.fetch) * kindPace
+			if it.Hint < d.mean/2 {
+				return
+			}
+			run = max(run-k.fetch, run/2)
+		}
 		x := math.Log(max(run, d.f.twoGrains/4) * d.warmth(w) / it.Hint) // as if warm
 		k.answers++
 		if !k.known {
@@ -643,8 +662,8 @@
 		lost = d.now-h.heard > d.f.still
 	default:
 		// Elsewhere a cancel may leave the work in the queue, and the worker only looks free.
-		// Nor is the last hand-off spent on it: that is for what is lost.
-		late = d.f.copies && len(it.hos)+1 < d.f.maxHandOffs && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
+		// Nor is the one hand-off beside the first spent on it: that is for what is lost.
+		late = d.f.copies && d.f.maxHandOffs > 2 && waited > max(d.grace(h.w), (it.until-h.sent-d.cost(it, h.w))/5)
 		ahead := h.load
 		if d.sight == unseen { // as much again may be there
 			ahead += d.kinds[h.w.Kind].slots()
@@ -756,8 +775,8 @@
 
 // cost is the running time to expect of an item on a worker. A cold one may warm faster than it must.
 func (d *Dispatcher) cost(it *item, w *worker) float64 {
-	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(d.slowness(w), math.Log(d.warmth(w))))/d.warmth(w) +
-		max(0, w.drained-d.now, 2*d.queue(&d.kinds[w.Kind]))
+	return it.Hint*math.Exp(d.kinds[w.Kind].slow+max(d.slowness(w), math.Log(d.warmth(w))))/d.warmth(w) + d.kinds[w.Kind].fetch +
+		max(0, w.drained-d.now, (w.told-1)*d.span(w), 2*d.queue(&d.kinds[w.Kind]))
 }
 
 // place hands off what is held, best rank first, and gives up what can no longer end in time. What
@@ -792,7 +811,7 @@
 	least := math.Inf(1)
 	for k := range d.kinds {
 		if d.kinds[k].weight > 0 && (it.cat.Kind < 0 || it.cat.Kind == k) {
-			least = min(least, it.Hint*math.Exp(d.kinds[k].slow)+2*d.queue(&d.kinds[k]))
+			least = min(least, it.Hint*math.Exp(d.kinds[k].slow)+d.kinds[k].fetch+2*d.queue(&d.kinds[k]))
 		}
 	}
 	if math.IsInf(least, 1) { // no worker is up just now
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -12,6 +12,7 @@
 	Zone         int
 	NearFirst    bool // handing off to another zone has a price
 	Keyed        bool // a fetch of what a work item's key stands for has a price
+	LiveWeights  bool // a listed weight is the worker's size over 1 and the work items that it holds for each core
 	Kinds        int
 	Categories   []Category
 	Tenants      []Tenant
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -13,6 +13,7 @@
 	zone         int
 	nearFirst    bool
 	keyed        bool
+	liveWeights  bool
 	tellsStart   bool
 	mustAsk      bool
 	onlyDraining bool
@@ -38,7 +39,7 @@
 	parts := min(siblings, mostShare)
 	f := figures{categories: s.Categories, excessCredit: s.ExcessCredit, siblings: siblings, parts: parts,
 		number: min(max(s.Number, 0), siblings-1), zone: s.Zone,
-		nearFirst: s.NearFirst, keyed: s.Keyed, tellsStart: s.TellsStart, mustAsk: s.MustAsk, onlyDraining: s.OnlyDraining, mayTell: s.MayTell,
+		nearFirst: s.NearFirst, keyed: s.Keyed, liveWeights: s.LiveWeights, tellsStart: s.TellsStart, mustAsk: s.MustAsk, onlyDraining: s.OnlyDraining, mayTell: s.MayTell,
 		mayCancel: s.MayCancel, copies: s.SecondCopies, maxHandOffs: s.MaxHandOffs, twoGrains: 2 * s.Grain,
 		still: stillAfter * s.Progress, askFirst: askFirst * s.AskWithin, askMost: s.AskWithin, askAgain: askAgain * s.AskWithin,
 		startShare: s.StartShare, warming: (1 - s.StartShare) / max(s.Cold, 1), cold: s.Cold, fall: max(s.Fall, 1),
@@ -87,6 +88,8 @@
 	queue   float64 // smoothed wait before the start, as of queueAt
 	queueAt float64
 	lane    int     // 0: small bins, 1: large
+	fetch   float64 // mean time that fetches add to a work item
+	size    float64 // most weight that the list gave one
 	free    int     // most slots that a report showed free
 	each    float64 // capacity of one worker as of the last reset: speed times slots
 	weight  float64 // capacity as of the last reset
@@ -127,6 +130,7 @@
 	suspectTill float64 // drawn last until then
 	sent        ring    // cost sent to it in the last fall window
 	last        float64 // time of the last hand-off
+	told        float64 // work items for each core by the list
 	hash        uint64  // of its id
 	sharers     []int   // the dispatchers that it is dealt to, in the order of the deal
 	place       int     // this dispatcher's among them; beyond the last: it is not
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -148,7 +148,7 @@
 	s := dispatch.Settings{Seed: seed, Grain: r.ms("granularity"),
 		Siblings: int(r.num("siblings", 1)), Number: int(r.num("position", 0)),
 		Zone: slices.Index(n.Zones, r.text("locality")), Kinds: len(n.Kinds),
-		NearFirst: r.num("prices.cross_zone", 0) > 0, Keyed: r.num("prices.origin", 0) > 0, ExcessCredit: r.num("excess_credit", 1),
+		NearFirst: r.num("prices.cross_zone", 0) > 0, Keyed: r.num("prices.origin", 0) > 0, LiveWeights: r.text("weights") == "live", ExcessCredit: r.num("excess_credit", 1),
 		TellsStart: r.yes("family_info.tells_start"), Progress: r.ms("family_info.progress"),
 		MustAsk: r.text("discovery") == "ask", MayCancel: r.yes("allowed.may_cancel"),
 		MayTell: r.yes("allowed.peers"), MayPause: r.yes("allowed.retry_after"),
