--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -30,6 +30,8 @@
 	failPace   = 0.05   // smoothing of how much work fails, for each answer
 	unlikely   = 0.06   // chance below which failures in a row are the worker's
 	mostly     = 0.8    // share of failed work that fails again from which all of it is taken to
+	overdue    = 1.25   // times the running time expected: an answer is overdue
+	often      = 0.1    // share of silent ends from which work is copied while it may still run
 	tryAnyway  = 1. / 8 // part of it that goes on all the same, to see whether that still holds
 	lostAfter  = 3      // failures in a row after which a worker that the list has dropped counts as gone
 	leastStep  = 1. / 8 // least weight in the draw of one that it has dropped
@@ -353,6 +355,10 @@
 	if it.held || it.ended || it.out > 0 {
 		return
 	}
+	d.enqueue(it)
+}
+
+func (d *Dispatcher) enqueue(it *item) {
 	it.held = true
 	at := len(d.held)
 	for at > 0 && d.held[at-1].rank < it.rank {
@@ -470,6 +476,7 @@
 	switch a.Outcome {
 	case Finished:
 		w.fails, w.errs, w.outTill, w.full, w.step = 0, 0, 0, 0, min(1, 2*w.step)
+		d.silent -= d.silent * failPace
 		run := a.Spent
 		if h.started >= 0 {
 			run = d.now - h.started // its running time; without notices, its latency
@@ -660,6 +667,7 @@
 		lost = waited > 4*max(d.cost(it, h.w), d.span(h.w))
 	case h.started >= 0:
 		lost = d.now-h.heard > d.f.still
+		d.copy(it, h)
 	default:
 		// Elsewhere a cancel may leave the work in the queue, and the worker only looks free.
 		// Nor is the one hand-off beside the first spent on it: that is for what is lost.
@@ -672,7 +680,11 @@
 	}
 	if lost && h.at != nil {
 		d.off(h)
-		d.fail(h.w)
+		if h.started < 0 {
+			d.fail(h.w)
+		} else { // it ran: what broke is the way back, and others go the same way
+			d.silent += (1 - d.silent) * failPace
+		}
 	}
 	// Only rerunnable work is moved: anything else may have had its effect.
 	if it.cat.Repeat != Rerunnable || !d.f.mayCancel || it.stream || len(it.hos) >= d.f.maxHandOffs {
@@ -685,6 +697,22 @@
 	}
 }
 
+// copy takes work that is overdue out of the books and sends it a second time while the first may still run, where
+// many answers never come. It guards against answers that are lost on the way from workers that are well, which would
+// look full and sick. Where answers are merely late it would do work twice.
+func (d *Dispatcher) copy(it *item, h *handoff) {
+	if d.silent < often || d.now-h.started < overdue*d.cost(it, h.w) {
+		return
+	}
+	if h.at != nil { // a worker whose answers are lost would look full
+		d.off(h)
+		d.stirred, d.silent = true, d.silent+(1-d.silent)*failPace
+	}
+	if d.f.copies && it.out == 1 && !it.held && !it.ended && it.cat.Repeat == Rerunnable {
+		d.enqueue(it)
+	}
+}
+
 // reset learns the lanes and the cutoff anew, and forgets workers that are gone.
 func (d *Dispatcher) reset() {
 	clear(d.homes)
@@ -796,7 +824,10 @@
 		if !it.held || it.seen && !d.stirred || len(d.ready) > 0 && d.choose(it) {
 			continue
 		}
-		it.seen = true
+		if it.seen = true; it.out > 0 { // a copy that finds no room
+			it.held = false
+			continue
+		}
 		// Capacity is short: what lies beyond a tenant's share gives way first. Then what comes too late.
 		if it.excess || d.now+d.least(it) > it.until || !d.mayRepeat(it, nil) {
 			d.giveUp(it)
--- a/internal/dispatch/shape_test.go
+++ b/internal/dispatch/shape_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"testing"
@@ -104,3 +105,112 @@
 		t.Errorf("sent to %s, while that was busy to %s, then to %s", where[1], where[2], where[3])
 	}
 }
+
+// TestAnswersLost: work starts and runs, yet many answers never come. No worker is convicted, what is overdue leaves the
+// books, and rerunnable work is sent once more while the first may still run; exclusive work never is. Once answers come
+// again nothing is copied.
+func TestAnswersLost(t *testing.T) {
+	s := plain()
+	s.SecondCopies, s.MaxHandOffs = true, 2
+	tr := start(t, s)
+	tr.up("f1", "f2", "f3", "f4")
+	for id := uint64(100); id < 130; id++ {
+		tr.run(id, 0, 100, 100)
+	}
+	silent := func(id uint64, category int, span float64) (handOffs, running int) {
+		tr.arrive(id, category, 400)
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+		w := tr.d.items[id].hos[0].w
+		tr.at(tr.now+span, func(d *Dispatcher) { d.Noticed(id, 1, true, 0) })
+		if _, avoided := tr.d.Pool(); avoided > 0 {
+			t.Errorf("%d: %d workers avoided", id, avoided)
+		}
+		it := tr.d.items[id]
+		return len(it.hos), w.running
+	}
+	if n, _ := silent(1, 0, 700); n != 1 {
+		t.Errorf("before anything is known: %d hand-offs", n)
+	}
+	tr.at(tr.now+3000, func(*Dispatcher) {}) // it stands still
+	for id := uint64(2); id < 6; id++ {
+		silent(id, 0, 3000)
+		for k := range tr.d.items[id].hos {
+			tr.at(tr.now+1, func(*Dispatcher) { tr.end(id, k, Cancelled) })
+		}
+	}
+	if n, running := silent(6, 0, 700); n != 2 || running != 0 {
+		t.Errorf("where answers vanish: %d hand-offs, %d in the books of the first worker", n, running)
+	}
+	tr.at(tr.now+1, func(*Dispatcher) { tr.end(6, 1, Finished) })
+	if n, running := silent(7, 1, 700); n != 1 || running != 0 {
+		t.Errorf("exclusive: %d hand-offs, %d in the books", n, running)
+	}
+	for id := uint64(200); id < 260; id++ {
+		tr.run(id, 0, 100, 100)
+	}
+	if n, running := silent(8, 0, 700); n != 1 || running != 1 {
+		t.Errorf("answers come again: %d hand-offs, %d in the books", n, running)
+	}
+}
+
+// TestLiveWeights: where the list's weights fall with what a worker holds, one that is far behind gets no work that would
+// come late there. Such a list is no change of the fleet.
+func TestLiveWeights(t *testing.T) {
+	for _, live := range []bool{true, false} {
+		s := plain()
+		s.LiveWeights = live
+		tr := start(t, s)
+		list := func(weights ...float64) {
+			tr.at(tr.now+5, func(d *Dispatcher) {
+				var list []Entry
+				for k, w := range weights {
+					list = append(list, Entry{Worker: "f" + strconv.Itoa(k+1), Weight: w})
+				}
+				d.Listed(Changes, list)
+			})
+		}
+		list(8, 8)
+		for id := uint64(100); id < 130; id++ {
+			tr.run(id, 0, 100, 100)
+		}
+		due := tr.d.resetAt
+		list(0.5, 8) // fifteen for each core
+		if live && tr.d.resetAt != due {
+			t.Error("weights alone had the lanes learned anew")
+		}
+		clear(tr.sum)
+		for id := uint64(200); id < 230; id++ {
+			tr.run(id, 0, 100, 100)
+		}
+		if sent := tr.sum["f1"] > 0; sent == live {
+			t.Errorf("live weights %v: %d of 30 to the one that is far behind", live, tr.sum["f1"])
+		}
+		list(8, 8)
+		clear(tr.sum)
+		for id := uint64(300); id < 330; id++ {
+			tr.run(id, 0, 100, 100)
+		}
+		if tr.sum["f1"] == 0 {
+			t.Errorf("live weights %v: nothing to f1 once it is free", live)
+		}
+	}
+}
+
+// TestFetchesApart: a fetch adds the same to small work and large; it must not pass for slowness of the kind.
+func TestFetchesApart(t *testing.T) {
+	s := plain()
+	s.Keyed, s.Categories[0].Due = true, 5000
+	tr := start(t, s)
+	tr.up("f1", "f2")
+	for id := uint64(100); id < 500; id++ {
+		hint := 40.0
+		if id%4 == 0 {
+			hint = 1000
+		}
+		tr.run(id, 0, hint, hint/2+100)
+	}
+	k := &tr.d.kinds[0]
+	if slow := math.Exp(k.slow); slow < 0.45 || slow > 0.56 || k.fetch < 70 || k.fetch > 130 {
+		t.Errorf("%.2f of the hint and %.0f ms, want 0.5 and 100", slow, k.fetch)
+	}
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -240,6 +240,7 @@
 	pressed   bool    // no worker has sure credit
 	suspects  bool    // some worker is suspected
 	failing   float64 // share of first hand-offs answered as failed, smoothed
+	silent    float64 // share of work started whose answer never came, smoothed
 	again     float64 // share of second ones elsewhere that fail as well
 	succeeded bool    // another process has taken this one's place
 }
