Program: keys, list sizes and checked settings for a pool; weldmast migrate

What the module reads since the move also reaches it on sockets: the key is the path's last part, size in discovery's list is the weight, and both go with a job that is handed over.

--- a/cmd/weldmast/main.go
+++ b/cmd/weldmast/main.go
@@ -28,6 +28,7 @@
 type arguments struct {
 	Serve   *serveCommand   `arg:"subcommand:serve" help:"run one dispatcher until SIGTERM (this is what no command means)"`
 	Check   *checkCommand   `arg:"subcommand:check" help:"read all that serve would read, tell every fault by line and key, start nothing"`
+	Migrate *migrateCommand `arg:"subcommand:migrate" help:"write the counterpart of a configuration for a pool of dispatchers, tell what could not be carried over"`
 	Version *versionCommand `arg:"subcommand:version" help:"print the version and what it was built with"`
 }
 
@@ -76,6 +77,8 @@
 	switch {
 	case a.Check != nil:
 		return a.Check.run(out, errs)
+	case a.Migrate != nil:
+		return a.Migrate.run(out, errs)
 	case a.Version != nil:
 		version(out)
 		return 0
@@ -99,11 +102,14 @@
 func (c *checkCommand) run(out, errs io.Writer) int {
 	_, first := config.LoadOperator(c.File, os.Getenv)
 	var second error
+	var unserved []string
 	looked := os.Getenv("ROUTER_CONFIG") != ""
 	if looked {
-		if _, second = load(); second != nil {
+		var l loaded
+		if l, second = load(); second != nil {
 			second = fmt.Errorf("ROUTER_CONFIG: %w", second)
 		}
+		unserved = l.Unserved
 	}
 	faults := 0
 	for _, err := range []error{first, second} {
@@ -121,6 +127,9 @@
 	if !looked {
 		fmt.Fprintln(out, "ROUTER_CONFIG is not set: only the operator's file was looked at")
 	}
+	for _, note := range unserved {
+		fmt.Fprintln(out, "not served: "+note)
+	}
 	fmt.Fprintln(out, "no faults")
 	return 0
 }
--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -1258,6 +1258,15 @@
 		{"setting wrong", `"fall_multiple":3.0`, `"fall_multiple":"three"`},
 		{"setting mistyped", `"fall":`, `"only_draining_binds":"sometimes","fall":`},
 		{"semantics", `"once"`, `"twice"`},
+		{"weights", `"excess_credit"`, `"weights":"heavy","excess_credit"`},
+		{"load", `"excess_credit"`, `"load_info":{"how":"often"},"excess_credit"`},
+		{"origin", `"excess_credit"`, `"prices":{"origin":-0.05},"excess_credit"`},
+		{"origin mistyped", `"excess_credit"`, `"prices":{"origin":"dear"},"excess_credit"`},
+		{"position", `"position":0`, `"position":2`},
+		{"half a hand-off", `"max_hand_offs":3`, `"max_hand_offs":2.5`},
+		{"may", `"retry_after":true`, `"retry_after":"yes"`},
+		{"shape", `"name":"n0"`, `"shape":3,"name":"n0"`},
+		{"a pool with peers", `"name":"n0"`, `"shape":2,"name":"n0"`},
 		{"known", `"known":null`, `"known":{"revision":"x"}`},
 	} {
 		w := newWorld(t)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -15,6 +15,7 @@
 	"slices"
 
 	"weldmast/internal/dispatch"
+	"weldmast/internal/migrate"
 	"weldmast/internal/settings"
 )
 
@@ -32,7 +33,8 @@
 	Settings   dispatch.Settings
 	Names      settings.Names
 	Links      settings.Links
-	Cores      int // to run on at once
+	Unserved   []string // what of the settings the sockets' protocol has no message for
+	Cores      int      // to run on at once
 	MemoryMB   int
 	Sockets    int
 }
@@ -51,6 +53,7 @@
 
 // file is the JSON as it stands.
 type file struct {
+	Shape      *int            `json:"shape"`
 	Name       string          `json:"name"`
 	Listen     string          `json:"listen"`
 	Discovery  string          `json:"discovery"`
@@ -98,7 +101,7 @@
 }
 
 // heeded at a reload, or of no meaning to a program that runs.
-var heeded = []string{"Discovery", "Known"}
+var heeded = []string{"Discovery", "Known", "Unserved"}
 
 func load(getenv func(string) string, discovery string) (Config, error) {
 	path := getenv("ROUTER_CONFIG")
@@ -109,6 +112,16 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
+	return parse(text, func(f *file) {
+		override(f, getenv)
+		if discovery != "" {
+			f.Discovery = discovery
+		}
+	})
+}
+
+// parse checks a configuration's text, with what goes before it.
+func parse(text []byte, before func(f *file)) (Config, error) {
 	var f file
 	if err := json.Unmarshal(text, &f); err != nil {
 		var wrong *json.UnmarshalTypeError
@@ -117,6 +130,13 @@
 		}
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
+	if before != nil {
+		before(&f)
+	}
+	return f.check()
+}
+
+func override(f *file, getenv func(string) string) {
 	for _, v := range []struct {
 		to   *string
 		name string
@@ -125,10 +145,24 @@
 			*v.to = set
 		}
 	}
-	if discovery != "" {
-		f.Discovery = discovery
+}
+
+// pool checks what only a configuration of the new shape must say or must not.
+func (f *file) pool(values settings.Values) error {
+	switch {
+	case f.Shape == nil || *f.Shape == 1:
+		return nil
+	case *f.Shape != migrate.Shape:
+		return fmt.Errorf("shape: %d is none that this program knows", *f.Shape)
+	case f.PeerListen != "" || f.PeersAll != "" || len(f.Peers) > 0:
+		return errors.New("peers: dispatchers of a pool (shape 2) do not speak to each other")
+	}
+	for _, key := range []string{"weights", "prices.origin", "load_info.how"} {
+		if len(values[key]) == 0 || values[key][0] == "" {
+			return fmt.Errorf("settings.%s is missing, which shape 2 must say", key)
+		}
 	}
-	return f.check()
+	return nil
 }
 
 func (f *file) check() (c Config, err error) {
@@ -187,6 +221,10 @@
 	if c.Settings, c.Names, c.Links, err = settings.Read(values, seed); err != nil {
 		return c, fmt.Errorf("settings.%w", err)
 	}
+	if err := f.pool(values); err != nil {
+		return c, err
+	}
+	c.Unserved = settings.Unserved(values)
 	l := &c.Links
 	if l.Idle <= 0 {
 		l.Idle = idleUnsaid
--- /dev/null
+++ b/internal/config/migrate.go
@@ -0,0 +1,53 @@
+// This file reads and writes the configurations that migrate turns from one shape into another. It must never change a
+// file that exists, nor leave half of one.
+
+package config
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"weldmast/internal/migrate"
+)
+
+// Migrated is the plan for the file at the path, and what the program's own check says of its result.
+func Migrated(path string, fill migrate.Fill) (r migrate.Result, fault error, err error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return r, nil, fmt.Errorf("old configuration: %w", err)
+	}
+	if r, err = migrate.Plan(text, fill); err != nil {
+		return r, nil, fmt.Errorf("%s: %w", path, err)
+	}
+	_, fault = parse(r.Text, nil)
+	return r, fault, nil
+}
+
+// WriteNew writes a file whole or not at all, and never over one that exists.
+func WriteNew(path, old string, text []byte) error {
+	was, err := os.Stat(old)
+	if err != nil {
+		return fmt.Errorf("old configuration: %w", err)
+	}
+	if now, err := os.Stat(path); err == nil && os.SameFile(was, now) {
+		return fmt.Errorf("%s: is the old configuration itself", path)
+	}
+	if _, err := os.Lstat(path); err == nil {
+		return fmt.Errorf("%s: exists already", path)
+	}
+	f, err := os.CreateTemp(filepath.Dir(path), ".weldmast-migrate-*")
+	if err != nil {
+		return fmt.Errorf("new configuration: %w", err)
+	}
+	defer os.Remove(f.Name())
+	_, err = f.Write(text)
+	if err = errors.Join(err, f.Chmod(was.Mode().Perm()), f.Sync(), f.Close()); err != nil {
+		return fmt.Errorf("new configuration: %w", err)
+	}
+	if err := os.Link(f.Name(), path); err != nil { // fails where another came first
+		return fmt.Errorf("new configuration: %w", err)
+	}
+	return nil
+}
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -279,7 +279,7 @@
 		return
 	}
 	h := &it.hos[ho]
-	h.heard = d.now
+	h.heard, h.w.word = d.now, d.now
 	h.to(&h.w.running)
 	if h.started >= 0 {
 		return
@@ -348,7 +348,7 @@
 	case Finished:
 		d.tally(it, w, 0)
 		w.fails, w.errs, w.outTill, w.full, w.step = 0, 0, 0, 0, min(1, 2*w.step)
-		d.silent -= d.silent * failPace
+		d.silent, w.word = d.silent*(1-failPace), d.now
 		run := a.Spent
 		if h.started >= 0 {
 			run = d.now - h.started // its running time; without notices, its latency
@@ -508,9 +508,9 @@
 	}
 	if lost && h.at != nil {
 		d.off(h)
-		if h.started < 0 || !d.f.tellsStart || d.f.keyed { // a fetch shows no progress
+		if h.started < 0 || d.f.keyed || d.now-h.w.word > d.f.still { // a fetch shows no progress
 			d.fail(h.w)
-		} else { // it ran: what broke is the way back
+		} else { // it ran, others there are heard of: what broke is the way back
 			d.silent += (1 - d.silent) * failPace
 		}
 	}
--- /dev/null
+++ b/internal/migrate/migrate.go
@@ -0,0 +1,237 @@
+// Package migrate turns a configuration of the old shape into its counterpart for the new one, text to text. It must
+// never read or write a file, and nothing that it is given may vanish without a line that says so.
+//
+// The old shape is a dispatcher of each client's own whose siblings may speak; the new one is a pool of dispatchers behind
+// a front, which share nothing, so the settings say what tells of load and whether a fetch has a price.
+package migrate
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+
+	"weldmast/internal/settings"
+)
+
+// Shape is the number by which a configuration of the new shape says so.
+const Shape = 2
+
+// Fill is what only the operator knows of the new deployment; what is empty stays open.
+type Fill struct {
+	Weights string // what the list's weights are
+	Load    string // how workers report their load
+	Origin  string // price of a fetch, a number
+}
+
+// Result is what became of a configuration. Each line begins with the key that it is about.
+type Result struct {
+	Text []byte
+	Left []string // not carried over, and why
+	Kept []string // carried over as it stands, though this program reads nothing of it
+	Look []string // carried over from the old deployment: to be looked at
+	Open []string // still to be filled in; the program does not start before
+}
+
+// Top-level keys by what becomes of them.
+var (
+	carried = []string{"name", "listen", "discovery", "ops", "seed", "limits", "settings", "shape"}
+	left    = map[string]string{
+		"peer_listen": "dispatchers of a pool do not speak to each other",
+		"peers":       "dispatchers of a pool do not speak to each other",
+		"peers_all":   "dispatchers of a pool do not speak to each other",
+		"known":       "names workers of the old deployment; discovery tells the new ones",
+	}
+	limits = []string{"cores", "memory_mb", "sockets"}
+	look   = []string{"siblings", "position", "localities", "locality", "machine_types", "categories", "realms", "allowed", "safety"}
+)
+
+// Plan makes the counterpart of a configuration. The same input gives the same bytes.
+func Plan(old []byte, fill Fill) (r Result, err error) {
+	tree, err := read(old)
+	if err != nil {
+		return r, err
+	}
+	switch shape := tree["shape"]; shape {
+	case nil, json.Number("1"):
+	case json.Number(fmt.Sprint(Shape)):
+		return r, fmt.Errorf("shape: is %d, the new one, already", Shape)
+	default:
+		return r, fmt.Errorf("shape: %v is none that this program knows", shape)
+	}
+	values, err := object(tree, "settings")
+	if err != nil {
+		return r, err
+	}
+	if len(values) == 0 {
+		return r, errors.New("settings: is missing")
+	}
+	for _, key := range slices.Sorted(maps.Keys(tree)) {
+		why, known := left[key]
+		if slices.Contains(carried, key) {
+			continue
+		} else if !known {
+			why = "not known to this program"
+		}
+		if tree[key] != nil || !known {
+			r.Left = append(r.Left, key+": "+why)
+		}
+		delete(tree, key)
+	}
+	if tree["limits"] != nil {
+		l, err := object(tree, "limits")
+		if err != nil {
+			return r, err
+		}
+		for _, key := range slices.Sorted(maps.Keys(l)) {
+			if !slices.Contains(limits, key) {
+				r.Left = append(r.Left, "limits."+key+": not known to this program")
+				delete(l, key)
+			}
+		}
+	}
+	tree["shape"] = Shape
+	part := map[string]map[string]any{"": values}
+	for _, key := range []string{"allowed", "prices", "load_info"} {
+		if part[key], err = object(values, key); err != nil {
+			return r, fmt.Errorf("settings.%w", err)
+		}
+	}
+	if part["allowed"]["peers"] == true {
+		r.Left = append(r.Left, "settings.allowed.peers: was true, is false: dispatchers of a pool do not speak to each other")
+		part["allowed"]["peers"] = false
+	}
+	for _, x := range []struct{ path, key, given, want string }{
+		{"", "weights", fill.Weights, "what the list's weights are: nominal, rough, none, live (--weights)"},
+		{"load_info", "how", fill.Load, "how workers report load: answers, probe, none (--load)"},
+		{"prices", "origin", fill.Origin, "price of a fetch for each work item, 0 where keys cost nothing (--origin)"},
+	} {
+		at := "settings." + x.key
+		if x.path != "" {
+			at = "settings." + x.path + "." + x.key
+		}
+		was, is := part[x.path][x.key], any(x.given)
+		if x.key == "origin" {
+			is = json.Number(x.given)
+		}
+		switch {
+		case x.given != "" && was != nil && fmt.Sprint(was) != x.given:
+			r.Left = append(r.Left, fmt.Sprintf("%s: was %v, is %v as told", at, was, x.given))
+			part[x.path][x.key] = is
+		case x.given != "":
+			part[x.path][x.key] = is
+		case was != nil:
+			r.Look = append(r.Look, at)
+		default: // the program refuses to start until it is filled in: a guess could pass for knowledge
+			part[x.path][x.key] = nil
+			r.Open = append(r.Open, at+": "+x.want)
+		}
+	}
+	for _, key := range look {
+		if values[key] != nil {
+			r.Look = append(r.Look, "settings."+key)
+		}
+	}
+	r.Text, err = write(tree)
+	if err != nil {
+		return r, err
+	}
+	text, err := json.Marshal(values)
+	if err != nil {
+		return r, fmt.Errorf("settings: %w", err)
+	}
+	flat, err := settings.Nested(text)
+	if err != nil {
+		return r, fmt.Errorf("settings: %w", err)
+	}
+	for _, key := range settings.Unread(flat) {
+		r.Kept = append(r.Kept, "settings."+key)
+	}
+	return r, nil
+}
+
+// read takes one object, its numbers as they are written. A key that stands twice is a fault: one of the two would vanish.
+func read(text []byte) (map[string]any, error) {
+	dec := json.NewDecoder(bytes.NewReader(text))
+	dec.UseNumber()
+	tree, err := value(dec, "")
+	if err != nil {
+		return nil, err
+	}
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		return nil, errors.New("more text after the JSON object")
+	}
+	m, ok := tree.(map[string]any)
+	if !ok {
+		return nil, errors.New("is not a JSON object")
+	}
+	return m, nil
+}
+
+func value(dec *json.Decoder, path string) (any, error) {
+	t, err := dec.Token()
+	if err != nil {
+		return nil, fmt.Errorf("no JSON at byte %d: %w", dec.InputOffset(), err)
+	}
+	switch t {
+	case json.Delim('{'):
+		m := map[string]any{}
+		for dec.More() {
+			k, err := dec.Token()
+			if err != nil {
+				return nil, fmt.Errorf("no JSON at byte %d: %w", dec.InputOffset(), err)
+			}
+			at := path + fmt.Sprint(k)
+			if _, twice := m[fmt.Sprint(k)]; twice {
+				return nil, fmt.Errorf("%s: stands twice", at)
+			}
+			if m[fmt.Sprint(k)], err = value(dec, at+"."); err != nil {
+				return nil, err
+			}
+		}
+		t = m
+	case json.Delim('['):
+		l := []any{}
+		for k := 0; dec.More(); k++ {
+			x, err := value(dec, fmt.Sprintf("%s%d.", path, k))
+			if err != nil {
+				return nil, err
+			}
+			l = append(l, x)
+		}
+		t = l
+	default:
+		return t, nil
+	}
+	if _, err := dec.Token(); err != nil { // its end
+		return nil, fmt.Errorf("no JSON at byte %d: %w", dec.InputOffset(), err)
+	}
+	return t, nil
+}
+
+// object is the one at the key, made where there is none.
+func object(in map[string]any, key string) (map[string]any, error) {
+	switch x := in[key].(type) {
+	case nil:
+		m := map[string]any{}
+		in[key] = m
+		return m, nil
+	case map[string]any:
+		return x, nil
+	}
+	return nil, fmt.Errorf("%s: is not an object", key)
+}
+
+func write(tree map[string]any) ([]byte, error) {
+	var b bytes.Buffer
+	enc := json.NewEncoder(&b)
+	enc.SetEscapeHTML(false)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(tree); err != nil {
+		return nil, fmt.Errorf("result: %w", err)
+	}
+	return b.Bytes(), nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,7 @@
 	Category int
 	Tenant   int
 	Hint     float64
+	Key      string  // what it is about; empty: nothing
 	Expiry   float64 // on the clock of Now
 	Message  any
 	Answer   func(Reply) // called once, by the reducer; must not block
@@ -130,6 +131,7 @@
 	Category int
 	Tenant   int
 	Hint     float64
+	Key      string
 	Expiry   float64
 	HandOffs []JobHandOff
 }
@@ -690,7 +692,7 @@
 			continue
 		}
 		c := it.client
-		j := &Job{ID: c.ID, Category: c.Category, Tenant: c.Tenant, Hint: c.Hint, Expiry: c.Expiry}
+		j := &Job{ID: c.ID, Category: c.Category, Tenant: c.Tenant, Hint: c.Hint, Key: c.Key, Expiry: c.Expiry}
 		for _, h := range it.hos {
 			j.HandOffs = append(j.HandOffs, JobHandOff{Addr: h.addr, Never: h.never, Taken: dispatch.Taken{Worker: h.worker,
 				Sent: h.sent, Started: h.started, Done: h.ended, Unrun: h.unrun}})
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -43,7 +43,7 @@
 		case *item:
 			c := v.client
 			d.Arrived(dispatch.WorkItem{ID: v.wi, Category: c.Category, Tenant: c.Tenant,
-				Left: max(c.Expiry-n.now, 0), Within: v.within, Hint: c.Hint})
+				Left: max(c.Expiry-n.now, 0), Within: v.within, Hint: c.Hint, Key: c.Key})
 		case left:
 			d.Left(uint64(v))
 		case dispatch.Answer:
@@ -60,7 +60,7 @@
 				}
 				c := v.it.client
 				to.Adopt(dispatch.WorkItem{ID: v.it.wi, Category: c.Category, Tenant: c.Tenant,
-					Left: max(c.Expiry-n.now, 0), Hint: c.Hint}, hos)
+					Left: max(c.Expiry-n.now, 0), Hint: c.Hint, Key: c.Key}, hos)
 			}
 		case dispatch.Learned:
 			if to, ok := d.(learner); ok {
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -292,7 +292,7 @@
 	if len(path) == 0 || path[0] != '/' {
 		return bad("path %q does not begin with /", path)
 	}
-	first, _, _ := bytes.Cut(path[1:], []byte("/"))
+	first, rest, _ := bytes.Cut(path[1:], []byte("/"))
 	name, err := url.PathUnescape(string(first))
 	category := slices.Index(c.names.Categories, name)
 	if err != nil || category < 0 {
@@ -313,10 +313,13 @@
 	// A deadline beyond the category's expiry counts as that: else one odd client would make all others of the
 	// category look like retries.
 	expiry := c.node.Now() + min(left*1000, c.expiries[category])
-	return &node.Client{ID: id, Category: category, Tenant: tenant, Hint: hint / 1000, Expiry: expiry,
+	return &node.Client{ID: id, Category: category, Tenant: tenant, Hint: hint / 1000, Key: keyOf(rest), Expiry: expiry,
 		Message: newMessage(r)}, 0, nil
 }
 
+// keyOf is what a request is about: the last part of its path, byte for byte, after that of its category.
+func keyOf(rest []byte) string { return string(rest[bytes.LastIndexByte(rest, '/')+1:]) }
+
 // number reads a header that is a plain decimal: digits, perhaps a point and more.
 func number(r *fasthttp.Request, header string, absent float64) (float64, error) {
 	all := r.Header.PeekAll(header)
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -70,6 +70,7 @@
 	Cell     int
 	Phase    string
 	UpSince  float64 `json:"up_since_ms"`
+	Size     float64
 }
 
 func decodeMember(text []byte, names settings.Names) (m node.Member, err error) {
@@ -86,7 +87,7 @@
 	}
 	return node.Member{Addr: in.HostPort, Entry: dispatch.Entry{Worker: in.ID, State: state, Cell: in.Cell,
 		Zone: slices.Index(names.Zones, in.Locality), Kind: slices.Index(names.Kinds, in.Flavor),
-		Since: in.UpSince}}, nil
+		Since: in.UpSince, Weight: max(in.Size, 0)}}, nil
 }
 
 type discovery struct {
--- a/internal/platform/takeover.go
+++ b/internal/platform/takeover.go
@@ -199,7 +199,7 @@
 	// Queued here, so that the node has it before it hears that the older process has ended.
 	cc := &clientConn{Conn: conn, owner: p.clients, since: time.Now(), begun: true, serving: true, proven: true, ahead: g.Ahead}
 	client := &node.Client{ID: g.Job.ID, Category: g.Job.Category, Tenant: g.Job.Tenant, Hint: g.Job.Hint,
-		Expiry: g.Job.Expiry, Message: &message{g.Head, g.Body}}
+		Key: g.Job.Key, Expiry: g.Job.Expiry, Message: &message{g.Head, g.Body}}
 	reply := make(chan node.Reply, 1)
 	client.Answer = func(r node.Reply) { reply <- r }
 	p.clients.figures.Taken()
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,10 +85,11 @@
 	MaxOpen int     // work items open at once
 }
 
-// reader takes values out; the first thing wrong stays in err.
+// reader takes values out; the first thing wrong stays in err, and what was looked at in read.
 type reader struct {
-	v   Values
-	err error
+	v    Values
+	err  error
+	read map[string]bool
 }
 
 func (r *reader) fail(key, what string) {
@@ -106,28 +107,53 @@
 	return x
 }
 
-func (r *reader) text(key string) string { return strings.Join(r.v[key], ",") }
+func (r *reader) list(key string) []string {
+	r.read[key] = true
+	return r.v[key]
+}
+
+func (r *reader) text(key string) string { return strings.Join(r.list(key), ",") }
 
 func (r *reader) num(key string, absent float64) float64 {
-	if len(r.v[key]) == 0 {
+	text := r.text(key)
+	if text == "" {
 		return absent
 	}
-	return r.parse(key, r.text(key))
+	x := r.parse(key, text)
+	if x < 0 {
+		r.fail(key, "is below 0")
+	}
+	return x
 }
 
 // ms is a time, given in microseconds.
 func (r *reader) ms(key string) float64 { return r.num(key, 0) / 1000 }
 
-func (r *reader) yes(key string) bool { return r.text(key) == "true" || r.text(key) == "1" }
+// within is a whole number from least to most.
+func (r *reader) within(key string, absent, least, most int) int {
+	x := r.num(key, float64(absent))
+	if x != math.Trunc(x) || x < float64(least) || x > float64(most) {
+		r.fail(key, fmt.Sprintf("is not a whole number from %d to %d", least, most))
+		return absent
+	}
+	return int(x)
+}
+
+// word is one of the given, or absent.
+func (r *reader) word(key string, words ...string) string {
+	text := r.text(key)
+	if text != "" && !slices.Contains(words, text) {
+		r.fail(key, fmt.Sprintf("is %q, none of %s", text, strings.Join(words, ", ")))
+	}
+	return text
+}
 
-// whether is yes, where another value than one of the two must not pass for no.
-func (r *reader) whether(key string) bool {
-	switch r.text(key) {
-	case "", "true", "1", "false", "0":
-	default:
+func (r *reader) yes(key string) bool {
+	text := r.text(key)
+	if !slices.Contains([]string{"", "true", "1", "false", "0"}, text) {
 		r.fail(key, "is neither true nor false")
 	}
-	return r.yes(key)
+	return text == "true" || text == "1"
 }
 
 // must names a setting without which no dispatcher can keep the rules.
@@ -141,24 +167,58 @@
 
 // Read turns values into what a dispatcher, its wire and its links need. An error names the setting.
 func Read(v Values, seed uint64) (dispatch.Settings, Names, Links, error) {
-	r := &reader{v: v}
+	s, n, l, r := read(v, seed)
+	return s, n, l, r.err
+}
+
+// Unread lists the settings, sorted, that nothing here looks at.
+func Unread(v Values) (keys []string) {
+	_, _, _, r := read(v, 0)
+	for key := range v {
+		if !r.read[key] {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+// Unserved says of settings, as they are, what the sockets' protocol has no message for.
+func Unserved(v Values) (notes []string) {
+	r := &reader{v: v, read: map[string]bool{}}
+	switch r.text("load_info.how") {
+	case "answers":
+		notes = append(notes, "load_info.how: workers' calls bring no load report on sockets; none is read")
+	case "probe":
+		notes = append(notes, "load_info.how: load is told to probes only, and this program sends none; the list's weights stand in")
+	}
+	return notes
+}
+
+func read(v Values, seed uint64) (dispatch.Settings, Names, Links, *reader) {
+	r := &reader{v: v, read: map[string]bool{}}
 	r.must("categories.count", "siblings", "granularity", "allowed.max_hand_offs",
 		"safety.start_capacity", "safety.cold", "safety.fall", "safety.fall_multiple")
-	n := Names{Zones: v["localities"], Kinds: v["machine_types"]}
+	n := Names{Zones: r.list("localities"), Kinds: r.list("machine_types")}
+	siblings := r.within("siblings", 1, 1, 1e6)
 	s := dispatch.Settings{Seed: seed, Grain: r.ms("granularity"),
-		Siblings: int(r.num("siblings", 1)), Number: int(r.num("position", 0)),
+		Siblings: siblings, Number: r.within("position", 0, 0, siblings-1),
 		Zone: slices.Index(n.Zones, r.text("locality")), Kinds: len(n.Kinds),
-		NearFirst: r.num("prices.cross_zone", 0) > 0, Keyed: r.num("prices.origin", 0) > 0, LiveWeights: r.text("weights") == "live", ExcessCredit: r.num("excess_credit", 1),
+		NearFirst: r.num("prices.cross_zone", 0) > 0, Keyed: r.num("prices.origin", 0) > 0, LiveWeights: r.word("weights", "nominal", "rough", "none", "live") == "live", ExcessCredit: r.num("excess_credit", 1),
 		TellsStart: r.yes("family_info.tells_start"), Progress: r.ms("family_info.progress"),
-		MustAsk: r.text("discovery") == "ask", MayCancel: r.yes("allowed.may_cancel"),
+		MustAsk: r.word("discovery", "push", "ask") == "ask", MayCancel: r.yes("allowed.may_cancel"),
 		MayTell: r.yes("allowed.peers"), MayPause: r.yes("allowed.retry_after"),
 		SecondCopies: r.yes("allowed.second_copies"), MaxPause: r.ms("allowed.max_retry_after"),
-		MaxHandOffs: int(r.num("allowed.max_hand_offs", 1)), AnswerSlack: r.ms("safety.answer_slack"),
+		MaxHandOffs: r.within("allowed.max_hand_offs", 1, 1, 1000), AnswerSlack: r.ms("safety.answer_slack"),
 		AskWithin: r.ms("safety.ask_within"), StartShare: r.num("safety.start_capacity", 0),
-		OnlyDraining: r.whether("safety.only_draining_binds"),
+		OnlyDraining: r.yes("safety.only_draining_binds"),
 		Cold:         r.ms("safety.cold"), FallMultiple: r.num("safety.fall_multiple", 1), Fall: r.ms("safety.fall")}
+	r.word("load_info.how", "answers", "probe", "none") // Unserved says what comes of it
+	if s.StartShare > 1 {
+		r.fail("safety.start_capacity", "is above 1")
+	}
 	l := Links{Idle: r.ms("allowed.conn_idle"), Connect: r.ms("allowed.connect_timeout"),
-		MaxOpen: int(r.num("allowed.open_cap", 0))}
+		MaxOpen: r.within("allowed.open_cap", 0, 0, math.MaxInt32)}
 	for _, x := range []string{"x0", "x1"} {
 		if r.text("family_info.report_"+x) == "free_slots" {
 			n.Free = x
@@ -173,7 +233,7 @@
 		n.Tenants = append(n.Tenants, r.text(at+"name"))
 		s.Tenants = append(s.Tenants, dispatch.Tenant{PerSec: r.num(at+"allowance_per_s", 0)})
 	}
-	return s, n, l, r.err
+	return s, n, l, r
 }
 
 func (r *reader) category(k int, kinds []string) dispatch.Category {
@@ -190,16 +250,16 @@
 	default:
 		r.fail(at+"semantics", "is unknown")
 	}
-	switch r.text(at + "group") {
+	switch r.word(at+"group", "all", "zone", "cell") {
 	case "zone":
 		c.Group = dispatch.GroupZone
 	case "cell":
 		c.Group = dispatch.GroupCell
 	}
-	if stretch := r.v["family_info.class_stretch"]; k < len(stretch) {
+	if stretch := r.list("family_info.class_stretch"); k < len(stretch) {
 		c.Stretch = r.parse("family_info.class_stretch", stretch[k])
 	}
-	if only := r.v["family_info.class_kind"]; k < len(only) && only[k] != "-1" {
+	if only := r.list("family_info.class_kind"); k < len(only) && only[k] != "-1" {
 		if c.Kind = slices.Index(kinds, only[k]); c.Kind < 0 {
 			c.Kind = int(r.parse("family_info.class_kind", only[k]))
 		}
