--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -134,9 +134,8 @@
 	h.to(nil)
 }
 
-// ask keeps the subscription to discovery alive: again when a call failed, after a time that is drawn and
-// doubles, and when nothing was heard for long. It guards against dispatchers that ask soon, or in step, and
-// keep one another from ever being heard, as discovery works through calls that have failed already.
+// ask keeps the subscription to discovery alive: again when a call failed, after a drawn, doubling time, and
+// when nothing was heard for long. It guards against dispatchers that keep one another from being heard.
 func (d *Dispatcher) ask() {
 	gap := d.askWait
 	if d.watched {
@@ -279,7 +278,7 @@
 		return
 	}
 	h := &it.hos[ho]
-	h.heard, h.w.word = d.now, d.now
+	h.heard = d.now
 	h.to(&h.w.running)
 	if h.started >= 0 {
 		return
@@ -347,8 +346,8 @@
 	switch a.Outcome {
 	case Finished:
 		d.tally(it, w, 0)
-		w.fails, w.errs, w.outTill, w.full, w.step = 0, 0, 0, 0, min(1, 2*w.step)
-		d.silent, w.word = d.silent*(1-failPace), d.now
+		w.fails, w.errs, w.mute, w.outTill, w.full, w.step = 0, 0, 0, 0, 0, min(1, 2*w.step)
+		d.silent *= 1 - failPace
 		run := a.Spent
 		if h.started >= 0 {
 			run = d.now - h.started // its running time; without notices, its latency
@@ -390,8 +389,7 @@
 }
 
 // blame finds what failed: the worker if so many in a row are unlikely where as much fails as everywhere; the
-// work if it failed elsewhere too, or if what fails mostly does. It guards against work that no worker can
-// do; it could keep a worker that fails everything for a few hand-offs.
+// work if it failed elsewhere too, or if what fails mostly does. It guards against work that nobody can do.
 func (d *Dispatcher) blame(it *item, w *worker) {
 	if it.failed != nil && it.failed != w {
 		it.bad = true
@@ -407,8 +405,7 @@
 }
 
 // suspect has a worker drawn last for a while, here and at those that share it: each of many dispatchers has
-// few answers to learn from, and one that fails fast is always free. A wrong word costs a worker its turn
-// alone.
+// few answers to learn from, and one that fails fast is always free. A wrong word costs it its turn alone.
 func (d *Dispatcher) suspect(w *worker) {
 	told := w.suspectTill - d.now
 	if w.suspectTill = d.now + suspectFor; told > suspectFor/2 || !d.mayTell() {
@@ -508,9 +505,12 @@
 	}
 	if lost && h.at != nil {
 		d.off(h)
-		if h.started < 0 || d.f.keyed || d.now-h.w.word > d.f.still { // a fetch shows no progress
+		if h.started < 0 || d.f.keyed { // a fetch shows no progress
 			d.fail(h.w)
-		} else { // it ran, others there are heard of: what broke is the way back
+		} else { // as many in a row are the worker's if unlikely by the way back alone
+			if h.w.mute++; math.Pow(d.silent, h.w.mute) < unlikely {
+				d.fail(h.w)
+			}
 			d.silent += (1 - d.silent) * failPace
 		}
 	}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -148,7 +148,7 @@
 	sent        ring    // cost sent to it in the last fall window
 	last        float64 // time of the last hand-off
 	far         float64 // its place in the order of the key just dealt
-	word        float64 // last sign of life
+	mute        float64 // work started there whose answer never came, in a row
 	told        float64 // work items for each core by the list
 	hash        uint64  // of its id
 	sharers     []int   // the dispatchers that it is dealt to, in the order of the deal
