--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -114,7 +114,6 @@
 	}
 }
 
-// mayTell: messages are allowed and paid for.
 func (d *Dispatcher) mayTell() bool { return d.f.mayTell && d.tellings >= d.shares-1 }
 
 func (d *Dispatcher) tellSharers(w *worker, message []byte) {
@@ -503,16 +502,8 @@
 		}
 		lost = waited > max(d.grace(h.w), 2*float64(ahead)*d.span(h.w))
 	}
-	if lost && h.at != nil {
-		d.off(h)
-		if h.started < 0 || d.f.keyed { // a fetch shows no progress
-			d.fail(h.w)
-		} else { // as many in a row are the worker's if unlikely by the way back alone
-			if h.w.mute++; math.Pow(d.silent, h.w.mute) < unlikely {
-				d.fail(h.w)
-			}
-			d.silent += (1 - d.silent) * failPace
-		}
+	if lost {
+		d.silence(h)
 	}
 	// Only rerunnable work is moved: anything else may have had its effect.
 	if it.cat.Repeat != Rerunnable || !d.f.mayCancel || it.stream || len(it.hos) >= d.f.maxHandOffs {
@@ -536,15 +527,29 @@
 	if d.silent < often || d.now-h.started < overdue*d.cost(it, h.w) {
 		return
 	}
-	if h.at != nil { // a worker whose answers are lost would look full
-		d.off(h)
-		d.stirred, d.silent = true, d.silent+(1-d.silent)*failPace
-	}
+	d.silence(h)
 	if d.f.copies && it.cat.Repeat == Rerunnable {
 		d.hold(it, 1)
 	}
 }
 
+// silence takes a hand-off that says no more out of the books. It is the worker's failure unless it started
+// and so many in a row are likely by lost answers alone; a fetch shows no progress either.
+func (d *Dispatcher) silence(h *handoff) {
+	if h.at == nil {
+		return
+	}
+	d.off(h)
+	d.stirred = true
+	if h.started >= 0 && !d.f.keyed {
+		h.w.mute, d.silent = h.w.mute+1, d.silent+(1-d.silent)*failPace
+		if math.Pow(d.silent, h.w.mute) >= unlikely {
+			return
+		}
+	}
+	d.fail(h.w)
+}
+
 // reset learns the lanes and the cutoff anew.
 func (d *Dispatcher) reset() {
 	clear(d.homes)
@@ -723,10 +728,9 @@
 	return nil
 }
 
-// home deals workers to a key: of each lane the first by weighted rendezvous hashing, so that all dispatchers
-// deal alike without a word. Work is drawn among the first that are useful, as many as its part of all work
-// fills, out of twice as many; else it waits. A worker keeps what few keys stand for, and a fetch slows all
-// others: work that went anywhere in a rush would keep the rush up.
+// home deals workers to a key: of each lane the first by rendezvous hashing, alike at all dispatchers.
+// Work is drawn among the first that are useful, as many as its part of all work fills, out of twice as many;
+// else it waits: a fetch slows all others, and work that went anywhere in a rush would keep the rush up.
 func (d *Dispatcher) home(key uint64) *home {
 	if h := d.homes[key]; h != nil {
 		return h
@@ -792,11 +796,8 @@
 	if it.ended || it.stream || d.now >= it.expiry || len(it.hos) >= d.f.maxHandOffs {
 		return false
 	}
-	if w.State != Up { // drains: never to one that this dispatcher was told drains or is gone
-		return false
-	}
-	// No effect twice.
-	if it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) || !d.mayRepeat(it, w) {
+	// Drains: never to one that this dispatcher was told drains or is gone. No effect twice.
+	if w.State != Up || it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) || !d.mayRepeat(it, w) {
 		return false
 	}
 	// Cold workers: by the few that may warm them, by one process of each, within its part of the budget.
