Tests take a port with 200 in its number for an answer 200 no more

The operators' address was then 24200, and 'connection refused' at it holds '200', which ready() looked for. Ruled out: a foreign listener (ss), the system's own ports (from 32768 on), a port given twice. It looks for ' 200 ' and ' 503 ' now; the status line has blanks round it.

--- a/cmd/weldmast/operate_test.go
+++ b/cmd/weldmast/operate_test.go
@@ -144,7 +144,7 @@
 	w.mu.Lock()
 	w.silent = false
 	w.mu.Unlock()
-	w.until("ready", func() bool { a, _ := w.control("ready"); return strings.Contains(a, "200") })
+	w.until("ready", func() bool { a, _ := w.control("ready"); return strings.Contains(a, " 200 ") })
 	w.mu.Lock()
 	w.log.Reset()
 	w.mu.Unlock()
@@ -182,7 +182,7 @@
 	io.WriteString(w.dial(), request("a", "/order/x", ""))
 	w.await("w1: a", 1)
 	w.cmd.Process.Signal(syscall.SIGTERM)
-	w.until("the phase", func() bool { a, _ := w.control("ready"); return strings.Contains(a, "503") })
+	w.until("the phase", func() bool { a, _ := w.control("ready"); return strings.Contains(a, " 503 ") })
 	a, body = w.control("ready")
 	note("told to stop", a, body)
 	w.check(`ready: HTTP/1.1 200 OK serving
--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -37,7 +37,7 @@
 
 func (w *world) ready() {
 	w.t.Helper()
-	w.until("ready", func() bool { a, _ := w.control("ready"); return strings.Contains(a, "200") })
+	w.until("ready", func() bool { a, _ := w.control("ready"); return strings.Contains(a, " 200 ") })
 }
 
 func (w *world) logged(text string, times int) {
