--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -13,6 +13,7 @@
 	"os"
 	"reflect"
 	"slices"
+	"strings"
 
 	"weldmast/internal/dispatch"
 	"weldmast/internal/migrate"
@@ -37,6 +38,8 @@
 	Cores      int      // to run on at once
 	MemoryMB   int
 	Sockets    int
+	Text       []byte // as it was read
+	Mark       string // each hand-off bears it as X-Release; empty: none does
 }
 
 // The least with which the program can serve.
@@ -65,6 +68,7 @@
 	PeersAll   string          `json:"peers_all"`
 	Known      json.RawMessage `json:"known"`
 	Settings   json.RawMessage `json:"settings"`
+	Mark       string          `json:"mark"`
 }
 
 type limits struct {
@@ -90,6 +94,7 @@
 		return old, nil, err
 	}
 	c.Settings.Seed, c.Temp = old.Settings.Seed, old.Temp // of the start
+	changed = c.waits(old)
 	is, was := reflect.ValueOf(c), reflect.ValueOf(old)
 	for k := range is.NumField() {
 		name := is.Type().Field(k).Name
@@ -100,8 +105,8 @@
 	return c, changed, nil
 }
 
-// heeded at a reload, or of no meaning to a program that runs.
-var heeded = []string{"Discovery", "Known", "Unserved"}
+// heeded at a reload, of no meaning to a program that runs, or looked at key by key.
+var heeded = []string{"Discovery", "Known", "Unserved", "Text", "Mark", "Settings", "Links", "Names"} // the last three: waits tells
 
 func load(getenv func(string) string, discovery string) (Config, error) {
 	path := getenv("ROUTER_CONFIG")
@@ -112,12 +117,14 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	return parse(text, func(f *file) {
+	c, err := parse(text, func(f *file) {
 		override(f, getenv)
 		if discovery != "" {
 			f.Discovery = discovery
 		}
 	})
+	c.Text = text
+	return c, err
 }
 
 // parse checks a configuration's text, with what goes before it.
@@ -166,7 +173,7 @@
 }
 
 func (f *file) check() (c Config, err error) {
-	c = Config{Name: f.Name, Known: f.Known, Cores: 1, MemoryMB: 192, Sockets: 1024}
+	c = Config{Name: f.Name, Known: f.Known, Mark: f.Mark, Cores: 1, MemoryMB: 192, Sockets: 1024}
 	addr := func(key, text string, must bool) (a netip.AddrPort) {
 		if text == "" && !must || err != nil {
 			return a
@@ -184,6 +191,9 @@
 			err = fmt.Errorf("%s: %d is below %d", key, *to, least)
 		}
 	}
+	if strings.ContainsFunc(f.Mark, func(r rune) bool { return r <= ' ' || r > '~' }) || len(f.Mark) > 64 {
+		return c, fmt.Errorf("mark: %q is not up to 64 printable characters without blanks", f.Mark)
+	}
 	c.Listen = addr("listen", f.Listen, true)
 	c.Discovery = addr("discovery", f.Discovery, true)
 	c.Ops = addr("ops", f.Ops, false)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -20,6 +20,7 @@
 type Operator struct {
 	Log     Log     `toml:"log"`
 	Profile Profile `toml:"profile"`
+	Fleet   *Fleet  `toml:"fleet"` // nil: this process is of no fleet
 }
 
 // Profile has the program write a profile of itself.
@@ -58,6 +59,9 @@
 	}
 	doc := tomlfile.Parse(path, text)
 	doc.Decode(&o)
+	if o.Fleet != nil {
+		o.Fleet.check(doc.Fault)
+	}
 	return o, doc.Err()
 }
 
--- /dev/null
+++ b/internal/council/council.go
@@ -0,0 +1,762 @@
+// This file owns the goroutine of a voter: it alone calls the core, keeps its time and hands its messages to the links. It
+// must never wait for a link.
+
+package council
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"sync"
+	"time"
+
+	"weldmast/internal/fleet"
+	"weldmast/internal/fleetlink"
+)
+
+// Options say which voter this is.
+type Options struct {
+	Fleet   string
+	Name    string
+	Address string
+	Voters  []fleet.Voter // the first council, with addresses; seats are filled in
+	Folder  string
+	Figures fleet.Figures
+	Run     string
+	Seed    uint64
+	Clock   func() float64 // milliseconds, goes on through a suspension, never set
+	Unix    func() float64 // the same as Unix time
+}
+
+// Bounds of a voter's goroutine.
+const (
+	inboxSize     = 4096
+	peerQueue     = 256 // messages that wait for one link; what is beyond is lost, as messages may be
+	voteWithin    = time.Second
+	snapWithin    = 5 * time.Second
+	helloWithin   = 500 * time.Millisecond
+	helloPatience = 2 * time.Second // for all others; then a majority has to do
+	catchingUp    = 16              // that get much at once
+	muchEntries   = 64
+	partBytes     = 256 << 10
+	askWithin     = 3 * time.Second
+	probeEvery    = 250.
+	probeWithin   = 300 * time.Millisecond
+	probesMost    = 8
+	passWithin    = 300 * time.Millisecond
+)
+
+// Council is one voter at work.
+type Council struct {
+	o       Options
+	ctx     context.Context
+	stop    context.CancelFunc
+	inbox   chan func()
+	client  *fleetlink.Client
+	running sync.WaitGroup
+	disk    *Disk // nil: there is none; the goroutine's, but for Seen
+	core    *Core // nil: it does not vote
+	seat    uint64
+	wants   uint64 // the seat that it asks for
+	peers   map[uint64]*peer
+	wake    chan struct{} // closed when the history goes on
+	busy    int           // catching up
+	probeAt float64
+	probing int
+	mu      sync.Mutex
+	state   string
+}
+
+// peer is the link to another voter.
+type peer struct {
+	addr  string
+	queue chan Message
+}
+
+// Start takes up the folder and votes as soon as it may.
+func Start(o Options) (*Council, error) {
+	for k, v := range o.Voters {
+		o.Voters[k].Seat = FirstSeat(o.Fleet, v.Name)
+	}
+	c := &Council{o: o, inbox: make(chan func(), inboxSize), client: fleetlink.NewClient(o.Fleet),
+		peers: map[uint64]*peer{}, wake: make(chan struct{}), state: "starting"}
+	c.ctx, c.stop = context.WithCancel(context.Background())
+	c.running.Go(c.run)
+	return c, nil
+}
+
+// Close ends it and lets the folder go.
+func (c *Council) Close() {
+	c.stop()
+	c.running.Wait()
+	c.client.Close()
+	if c.disk != nil {
+		c.disk.Close()
+	}
+}
+
+// State says how it votes.
+func (c *Council) State() (string, uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state, c.wants
+}
+
+func (c *Council) say(state string) {
+	c.mu.Lock()
+	was := c.state
+	c.state = state
+	c.mu.Unlock()
+	if was != state {
+		slog.Info("voter", "voter", c.o.Name, "state", state)
+	}
+}
+
+// do has something done on the goroutine; false: it has ended.
+func (c *Council) do(f func()) bool {
+	select {
+	case c.inbox <- f:
+		return true
+	case <-c.ctx.Done():
+		return false
+	}
+}
+
+func (c *Council) run() {
+	kept, ok := c.open()
+	if !ok {
+		for { // it answers that it does not vote
+			select {
+			case <-c.ctx.Done():
+				return
+			case f := <-c.inbox:
+				f()
+			}
+		}
+	}
+	core, err := NewCore(c.o.Figures, c.seat, kept, c.disk, c.o.Seed, c.o.Clock())
+	if err != nil {
+		c.say("does not vote: " + err.Error())
+	}
+	c.core = core
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := c.o.Clock()
+		at := now + 1000
+		if c.core != nil {
+			at = c.core.Step(now)
+			c.after(now)
+		}
+		timer.Reset(time.Duration(max(at-c.o.Clock(), 1) * 1e6))
+		select {
+		case <-c.ctx.Done():
+			return
+		case f := <-c.inbox:
+			f()
+			for more := true; more; {
+				select {
+				case f := <-c.inbox:
+					f()
+				default:
+					more = false
+				}
+			}
+		case <-timer.C:
+		}
+	}
+}
+
+// after sees what a step brought about.
+func (c *Council) after(now float64) {
+	for _, m := range c.core.Take(now) {
+		c.send(m)
+	}
+	if c.core.Moved() {
+		close(c.wake)
+		c.wake = make(chan struct{})
+	}
+	switch fault := c.core.Fault(); {
+	case fault != nil:
+		c.say("does not vote: " + fault.Error())
+	case c.core.Book() != nil:
+		c.say("leads")
+	case c.core.Lead() != 0:
+		c.say("follows a leader")
+	default:
+		c.say("votes, no leader")
+	}
+	if b := c.core.Book(); b != nil && now >= c.probeAt {
+		c.probeAt = now + probeEvery
+		c.probe(b.Silent(now, c.core.State()))
+	}
+}
+
+// probe calls members that should have been heard of, so that a stalled one is told from one that cannot be reached.
+func (c *Council) probe(silent []fleet.Member) {
+	for _, m := range silent {
+		if c.probing >= probesMost {
+			return
+		}
+		c.probing++
+		c.running.Go(func() {
+			connects, err := c.client.There(m.Address, probeWithin)
+			what := "its link to the leader, it answers there"
+			switch {
+			case err != nil && connects:
+				what = "stalled, or its link swallows: it takes connections and says nothing"
+			case err != nil:
+				what = "no link, or no process: it cannot be reached"
+			}
+			c.do(func() {
+				c.probing--
+				if c.core != nil && c.core.Book() != nil {
+					c.core.Book().Probed(m.Name, what)
+				}
+			})
+		})
+	}
+}
+
+// open takes up the folder and finds out whether it may vote as the one it was. False: it does not.
+func (c *Council) open() (kept Kept, ok bool) {
+	var disk *Disk
+	var runs uint64
+	var fresh bool
+	var err error
+	for { // an older process of this member may still have it
+		disk, kept, runs, fresh, err = OpenDisk(c.o.Folder, c.o.Name)
+		if err == nil || errors.Is(err, ErrDamaged) {
+			break
+		}
+		c.say("waits for its folder: " + err.Error())
+		if !c.pause(200 * time.Millisecond) {
+			return kept, false
+		}
+	}
+	if err != nil {
+		c.say("does not vote: " + err.Error())
+		return kept, false
+	}
+	c.disk = disk
+	if c.seat, err = disk.Seat(); err != nil {
+		c.say("does not vote: " + err.Error())
+		return kept, false
+	}
+	if c.seat == 0 {
+		c.seat = FirstSeat(c.o.Fleet, c.o.Name)
+	}
+	if fresh {
+		return c.found()
+	}
+	runs++
+	if err := disk.Started(runs); err != nil {
+		c.say("does not vote: " + err.Error())
+		return kept, false
+	}
+	return kept, c.register(runs)
+}
+
+// pause serves the inbox meanwhile; false: it ends.
+func (c *Council) pause(span time.Duration) bool {
+	timer := time.NewTimer(span)
+	defer timer.Stop()
+	for {
+		select {
+		case <-c.ctx.Done():
+			return false
+		case f := <-c.inbox:
+			f()
+		case <-timer.C:
+			return true
+		}
+	}
+}
+
+// heard is another voter's answer to a hello.
+type heard struct {
+	voter  string
+	answer fleetlink.HelloAnswer
+	err    error
+}
+
+// hello asks voters once; the answers come by the channel.
+func (c *Council) hello(voters []fleet.Voter, starts uint64) <-chan heard {
+	answers := make(chan heard, len(voters))
+	for _, v := range voters {
+		c.running.Go(func() {
+			a, err := c.client.Hello(v.Address, fleetlink.Hello{Voter: c.o.Name, Starts: starts, Run: c.o.Run}, helloWithin)
+			if err == nil && a.Fault != "" {
+				err = errors.New(a.Fault)
+			}
+			answers <- heard{v.Name, a, err}
+		})
+	}
+	return answers
+}
+
+func (c *Council) others() (all []fleet.Voter) {
+	for _, v := range c.o.Voters {
+		if v.Name != c.o.Name {
+			all = append(all, v)
+		}
+	}
+	return all
+}
+
+// round asks those that have not answered yet, and serves the inbox meanwhile. False: it ends.
+func (c *Council) round(left map[string]fleet.Voter, starts uint64, each func(heard)) bool {
+	var all []fleet.Voter
+	for _, name := range sorted(left) {
+		all = append(all, left[name])
+	}
+	answers := c.hello(all, starts)
+	for range all {
+		select {
+		case <-c.ctx.Done():
+			return false
+		case f := <-c.inbox:
+			f()
+			// The answer that this turn was for is still to come.
+			for done := false; !done; {
+				select {
+				case <-c.ctx.Done():
+					return false
+				case f := <-c.inbox:
+					f()
+				case h := <-answers:
+					each(h)
+					done = true
+				}
+			}
+		case h := <-answers:
+			each(h)
+		}
+	}
+	return true
+}
+
+// found begins with an empty folder. Only if every other voter says that it never heard of this one it votes as the one
+// it is named to be; else its folder was lost with what it had promised, and it asks for a new seat.
+func (c *Council) found() (Kept, bool) {
+	left := map[string]fleet.Voter{}
+	for _, v := range c.others() {
+		left[v.Name] = v
+	}
+	lost := uint64(0)
+	for len(left) > 0 && lost == 0 {
+		c.say(fmt.Sprintf("new: waits for the word of %d other voters", len(left)))
+		if !c.round(left, 0, func(h heard) {
+			if h.err == nil {
+				delete(left, h.voter)
+				lost = max(lost, h.answer.Known)
+			}
+		}) || len(left) > 0 && lost == 0 && !c.pause(200*time.Millisecond) {
+			return Kept{}, false
+		}
+	}
+	first := First(c.o.Fleet, c.o.Voters)
+	if lost > 0 {
+		first = Blank(c.o.Fleet)
+	}
+	err := c.disk.Found(c.o.Name, first)
+	if err == nil && lost > 0 {
+		c.seat = FirstSeat(c.o.Fleet, c.o.Name+" "+c.o.Run)
+		err = c.disk.Reseat(c.seat)
+	}
+	if err == nil {
+		err = c.disk.Started(1)
+	}
+	if err != nil {
+		c.say("does not vote: " + err.Error())
+		return Kept{}, false
+	}
+	if lost > 0 {
+		c.mu.Lock()
+		c.wants = c.seat
+		c.mu.Unlock()
+		c.say("lost its folder: asks for a new seat")
+		return first, true
+	}
+	return first, c.register(1)
+}
+
+// register tells the others of this start. One that knows of as many shows that the folder is older than what this
+// voter has promised.
+func (c *Council) register(runs uint64) bool {
+	left := map[string]fleet.Voter{}
+	for _, v := range c.others() {
+		left[v.Name] = v
+	}
+	need := len(c.o.Voters) / 2 // with itself a majority
+	answered, refused := 0, ""
+	take := func(h heard) {
+		switch {
+		case h.err != nil:
+		case h.answer.Known >= runs:
+			refused = h.voter
+		default:
+			answered++
+			delete(left, h.voter)
+		}
+	}
+	for began := time.Now(); len(left) > 0 && refused == ""; {
+		if answered >= need && time.Since(began) > helloPatience {
+			break
+		}
+		c.say(fmt.Sprintf("waits for the word of %d other voters", len(left)))
+		if !c.round(left, runs, take) || len(left) > 0 && refused == "" && !c.pause(100*time.Millisecond) {
+			return false
+		}
+	}
+	if refused != "" {
+		c.say("does not vote: its folder is older than what it promised, by the word of " + refused)
+		return false
+	}
+	if len(left) > 0 {
+		c.running.Go(func() { c.late(left, runs) })
+	}
+	return true
+}
+
+// late goes on asking those that did not answer; a word against this voter that comes late still counts.
+func (c *Council) late(left map[string]fleet.Voter, runs uint64) {
+	for len(left) > 0 {
+		select {
+		case <-c.ctx.Done():
+			return
+		case <-time.After(time.Second):
+		}
+		var all []fleet.Voter
+		for _, name := range sorted(left) {
+			all = append(all, left[name])
+		}
+		answers := c.hello(all, runs)
+		for range all {
+			if h := <-answers; h.err == nil {
+				if delete(left, h.voter); h.answer.Known >= runs {
+					c.do(func() {
+						c.core = nil
+						c.say("does not vote: its folder is older than what it promised, by the word of " + h.voter)
+					})
+					return
+				}
+			}
+		}
+	}
+}
+
+// Hello answers another voter that starts.
+func (c *Council) Hello(h fleetlink.Hello) (a fleetlink.HelloAnswer) {
+	done := make(chan struct{})
+	if !c.do(func() {
+		defer close(done)
+		if c.disk == nil {
+			a.Fault = "no folder yet"
+			return
+		}
+		known, err := c.disk.Seen(h.Voter, h.Starts, h.Run)
+		if a.Known = known; err != nil {
+			a.Fault = err.Error()
+		}
+	}) {
+		a.Fault = "ends"
+		return a
+	}
+	select {
+	case <-done:
+	case <-c.ctx.Done():
+		return fleetlink.HelloAnswer{Fault: "ends"}
+	}
+	return a
+}
+
+// Vote takes another voter's messages.
+func (c *Council) Vote(v fleetlink.Vote) {
+	c.do(func() {
+		if c.core == nil {
+			return
+		}
+		c.link(v.Seat, v.From)
+		for _, m := range v.Data {
+			c.core.Receive(c.o.Clock(), m)
+		}
+	})
+}
+
+// link makes or finds the link to a voter.
+func (c *Council) link(seat uint64, addr string) *peer {
+	p := c.peers[seat]
+	if p == nil && addr != "" {
+		p = &peer{addr: addr, queue: make(chan Message, peerQueue)}
+		c.peers[seat] = p
+		c.running.Go(func() { c.deliver(p) })
+	}
+	return p
+}
+
+func (c *Council) send(m Message) {
+	p := c.peers[m.To]
+	if p == nil {
+		addr := ""
+		for _, v := range c.core.State().Voters() {
+			if v.Seat == m.To {
+				addr = v.Address
+			}
+		}
+		if p = c.link(m.To, addr); p == nil {
+			return // it has no seat any longer
+		}
+	}
+	select {
+	case p.queue <- m:
+	default:
+	}
+}
+
+// deliver writes to one voter what waits for it, all at once.
+func (c *Council) deliver(p *peer) {
+	for {
+		var batch []Message
+		select {
+		case <-c.ctx.Done():
+			return
+		case m := <-p.queue:
+			batch = append(batch, m)
+		}
+		size := len(batch[0].Data)
+		for more := true; more && size < partBytes; {
+			select {
+			case m := <-p.queue:
+				batch = append(batch, m)
+				size += len(m.Data)
+			default:
+				more = false
+			}
+		}
+		v, within := fleetlink.Vote{From: c.o.Address, Seat: c.seat}, voteWithin
+		for _, m := range batch {
+			v.Data = append(v.Data, m.Data)
+			if m.Snap {
+				within = snapWithin
+			}
+		}
+		err := c.client.Vote(p.addr, v, within)
+		for _, m := range batch {
+			if m.Snap {
+				c.do(func() {
+					if c.core != nil {
+						c.core.SnapshotSent(c.o.Clock(), m.To, err == nil)
+					}
+				})
+			}
+		}
+		if err != nil { // what waits is old by the time that the link is back
+			select {
+			case <-c.ctx.Done():
+				return
+			case <-time.After(20 * time.Millisecond):
+			}
+		}
+	}
+}
+
+// leaderAddr is where the leader is found, as far as is known.
+func (c *Council) leaderAddr() string {
+	if c.core == nil {
+		return ""
+	}
+	for _, v := range c.core.State().Voters() {
+		if v.Seat == c.core.Lead() {
+			return v.Address
+		}
+	}
+	return ""
+}
+
+// Beat answers a member's beat, once it is sure that this voter leads. One that does not passes it on: a member that is cut
+// from the leader alone keeps its lease, which runs from its own sending in any case.
+func (c *Council) Beat(ctx context.Context, b fleet.Beat, via bool) fleetlink.BeatAnswer {
+	a := c.beat(ctx, b)
+	if a.NotLeader && a.Leader != "" && a.Leader != c.o.Address && !via {
+		if passed, err := c.client.Beat(a.Leader, b, true, passWithin); err == nil && !passed.NotLeader {
+			passed.Leader = a.Leader
+			return passed
+		}
+	}
+	return a
+}
+
+func (c *Council) beat(ctx context.Context, b fleet.Beat) (a fleetlink.BeatAnswer) {
+	out := make(chan fleetlink.BeatAnswer, 1)
+	if !c.do(func() {
+		if c.core == nil {
+			out <- fleetlink.BeatAnswer{NotLeader: true, Fault: "does not vote"}
+			return
+		}
+		c.core.Beat(c.o.Clock(), b, func(r fleet.Renewal, err error) {
+			if err != nil {
+				out <- fleetlink.BeatAnswer{NotLeader: true, Leader: c.leaderAddr()}
+				return
+			}
+			out <- fleetlink.BeatAnswer{Renewal: r}
+		})
+	}) {
+		return fleetlink.BeatAnswer{NotLeader: true, Fault: "ends"}
+	}
+	select {
+	case a = <-out:
+	case <-ctx.Done():
+		a = fleetlink.BeatAnswer{NotLeader: true, Fault: "ends"}
+	case <-c.ctx.Done():
+		a = fleetlink.BeatAnswer{NotLeader: true, Fault: "ends"}
+	}
+	return a
+}
+
+// Entries gives what comes after, and waits for it as long as the asker wants to.
+func (c *Council) Entries(ctx context.Context, q fleetlink.After) fleetlink.Batch {
+	end := time.NewTimer(min(time.Duration(max(q.Wait, 0)*1e6), fleetlink.WaitMost))
+	defer end.Stop()
+	for {
+		out := make(chan fleetlink.Batch, 1)
+		var wake chan struct{}
+		if !c.do(func() {
+			if wake = c.wake; c.core == nil {
+				out <- fleetlink.Batch{Fault: "does not vote"}
+				return
+			}
+			out <- c.batch(q)
+		}) {
+			return fleetlink.Batch{Fault: "ends"}
+		}
+		select {
+		case b := <-out:
+			if len(b.Entries) > 0 || b.Size > 0 || b.Fork || b.Busy || b.Fault != "" {
+				return b
+			}
+		case <-ctx.Done():
+			return fleetlink.Batch{Fault: "ends"}
+		case <-c.ctx.Done():
+			return fleetlink.Batch{Fault: "ends"}
+		}
+		select {
+		case <-wake:
+		case <-end.C:
+			return fleetlink.Batch{}
+		case <-ctx.Done():
+			return fleetlink.Batch{Fault: "ends"}
+		}
+	}
+}
+
+// batch is what one call brings. So many get much at once, so that a fleet that comes back does not bury the voters.
+func (c *Council) batch(q fleetlink.After) (b fleetlink.Batch) {
+	entries, snapshot, fork := c.core.Entries(q.N, q.Digest)
+	if fork {
+		return fleetlink.Batch{Fork: true}
+	}
+	if len(entries) > muchEntries || snapshot != nil {
+		if c.busy >= catchingUp {
+			return fleetlink.Batch{Busy: true}
+		}
+		c.busy++
+		time.AfterFunc(20*time.Millisecond, func() { c.do(func() { c.busy-- }) }) // about what writing it takes
+	}
+	if snapshot != nil {
+		b.Size, b.Upto = len(snapshot), c.core.State().N()
+		if q.For == b.Upto && q.Skip > 0 && q.Skip < len(snapshot) {
+			b.Skip = q.Skip
+		}
+		b.Snapshot = snapshot[b.Skip:min(b.Skip+partBytes, len(snapshot))]
+		return b
+	}
+	size := 0
+	for k := range entries {
+		if size += len(entries[k].Command.Text) + 256; size > partBytes && k > 0 {
+			entries = entries[:k]
+			break
+		}
+	}
+	b.Entries = entries
+	return b
+}
+
+// Ask answers an operator as the leader.
+func (c *Council) Ask(ctx context.Context, q fleetlink.Ask) (a fleetlink.Answer) {
+	out := make(chan fleetlink.Answer, 1)
+	ask := func() {
+		if c.core == nil || c.core.Book() == nil {
+			out <- fleetlink.Answer{NoLeader: true}
+			return
+		}
+		x := q.Command
+		if x.Kind == 0 {
+			out <- c.tell(q, fleet.Result{})
+			return
+		}
+		if x.Kind == fleet.Seated && x.Seat == 0 {
+			if x.Seat, x.Address = c.core.Book().Seat(x.Member); x.Seat == 0 {
+				out <- fleetlink.Answer{Fault: fmt.Sprintf("%s asks for no seat: it has not lost its folder, or was not heard of", x.Member)}
+				return
+			}
+		}
+		c.core.Propose(c.o.Clock(), x, func(r fleet.Result, err error) {
+			switch {
+			case err == nil:
+				out <- c.tell(q, r)
+			case errors.Is(err, fleet.ErrRefused):
+				out <- fleetlink.Answer{Fault: err.Error()}
+			default:
+				out <- fleetlink.Answer{NoLeader: true, Fault: err.Error()}
+			}
+		})
+	}
+	if !c.do(ask) {
+		return fleetlink.Answer{NoLeader: true}
+	}
+	timer := time.NewTimer(askWithin)
+	defer timer.Stop()
+	select {
+	case a = <-out:
+	case <-timer.C:
+		a = fleetlink.Answer{NoLeader: true, Fault: ErrUnsure.Error()}
+	case <-ctx.Done():
+		a = fleetlink.Answer{NoLeader: true}
+	case <-c.ctx.Done():
+		a = fleetlink.Answer{NoLeader: true}
+	}
+	return a
+}
+
+// tell says how the fleet stands. It is sure of its place only as of its last majority; what it says of fences is true
+// whoever leads now.
+func (c *Council) tell(q fleetlink.Ask, r fleet.Result) (a fleetlink.Answer) {
+	now, unix, s, b := c.o.Clock(), c.o.Unix(), c.core.State(), c.core.Book()
+	a.Result = r
+	if b == nil { // it was the leader when the command was agreed on
+		return a
+	}
+	st := &fleetlink.Status{Fleet: s.Fleet(), N: s.N(), Digest: s.Digest().String(), Newest: s.Newest(), Fenced: s.Fenced(), Leader: c.o.Name,
+		Members: b.Members(now, s)}
+	if st.Fenced > 0 {
+		st.Fence, st.Waits = b.Fence(now, unix, st.Fenced, s)
+	}
+	for _, v := range s.Voters() {
+		at, ok := c.core.voices[v.Seat]
+		heard := -1.
+		if v.Seat == c.seat {
+			heard = 0
+		} else if ok {
+			heard = now - at
+		}
+		st.Voters = append(st.Voters, fleetlink.VoterStatus{Name: v.Name, Heard: heard})
+	}
+	a.Status = st
+	if q.Audit {
+		audit := b.Audit(now, unix, s, q.Version, q.Since)
+		a.Audit = &audit
+	}
+	return a
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -282,6 +282,17 @@
 	return d
 }
 
+// Change has it decide by other settings from now on, between two rounds. What it keeps account of by position stays: the
+// lists of categories, tenants, kinds and siblings must be as they were.
+func (d *Dispatcher) Change(s Settings) { d.f = derive(s) }
+
+// GiveUp gives the final answer to a work item that nothing is out for: the process may hand off no more.
+func (d *Dispatcher) GiveUp(wi uint64) {
+	if it := d.items[wi]; it != nil && it.out == 0 {
+		d.giveUp(it)
+	}
+}
+
 // load is what is known to be at a worker: own hand-offs and those that siblings told of.
 func (d *Dispatcher) load(w *worker) int {
 	w.theirs = slices.DeleteFunc(w.theirs, func(l lease) bool { return d.now >= l.till })
--- /dev/null
+++ b/internal/fleet/history.go
@@ -0,0 +1,410 @@
+// Package fleet is the history that the processes of one fleet agree on, who acted on which of its versions, and the
+// leases by which whoever is behind is brought up or shut out. It is pure: no I/O, no clock but the one handed in, no
+// chance. It must never decide where work goes, nor rest on a clock that was not handed in.
+//
+// This file owns the history: its entries, the state they add up to, and the proof that two share it. Times are
+// milliseconds; those of entries are Unix time and for people only.
+package fleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+	"golang.org/x/mod/semver"
+)
+
+// Format is that of entries, snapshots and messages.
+const Format = 1
+
+const (
+	// MostText is how long a version's text may be, in bytes.
+	MostText     = 64 << 10
+	keepTexts    = 16   // newest versions whose texts a state keeps, for who is behind and for the way back
+	keepVersions = 256  // older ones are forgotten
+	keepRequests = 1024 // numbers of requests that are known again
+	mostName     = 64
+)
+
+// Digest proves a history up to an entry.
+type Digest [sha256.Size]byte
+
+func (d Digest) String() string { return hex.EncodeToString(d[:6]) }
+
+// Kind says what an entry does.
+type Kind uint8
+
+// The kinds.
+const (
+	Admitted  Kind = iota + 1 // a member is in, or in again
+	Removed                   // it is no member any longer: nothing waits for it
+	Published                 // a version
+	ShutOut                   // a member must take no work until it is admitted again
+	Seated                    // a voter, in place of the one of its name if there is one
+	Unseated                  // a voter no longer
+)
+
+func (k Kind) String() string {
+	if k < Admitted || k > Unseated {
+		return "unknown"
+	}
+	return [...]string{"admitted", "removed", "published", "shut out", "seated", "unseated"}[k-1]
+}
+
+// Alone says what a member does whose lease is over and that knows of nothing newer.
+type Alone string
+
+// The two ways.
+const (
+	Serve Alone = "serve"
+	Stop  Alone = "stop"
+)
+
+// Command is what somebody wants to stand in the history.
+type Command struct {
+	Kind    Kind    `cbor:"1,keyasint"`
+	Request string  `cbor:"2,keyasint"` // the asker's own number: the same again is the same entry
+	By      string  `cbor:"3,keyasint,omitempty"`
+	At      float64 `cbor:"4,keyasint"`
+	Member  string  `cbor:"5,keyasint,omitempty"` // admitted, removed, shut out
+	Address string  `cbor:"6,keyasint,omitempty"`
+	Alone   Alone   `cbor:"7,keyasint,omitempty"`
+	Text    []byte  `cbor:"8,keyasint,omitempty"` // published
+	Least   string  `cbor:"9,keyasint,omitempty"` // least program version that understands it
+	Fence   bool    `cbor:"10,keyasint,omitempty"`
+	After   uint64  `cbor:"11,keyasint,omitempty"` // refused unless this is the newest version, plus 1; 0: whatever is
+	Seat    uint64  `cbor:"12,keyasint,omitempty"` // of the voter that is seated
+}
+
+// Entry is a command in its place.
+type Entry struct {
+	N       uint64  `cbor:"1,keyasint"` // from 1 on, without gaps
+	Prev    Digest  `cbor:"2,keyasint"`
+	Command Command `cbor:"3,keyasint"`
+	Digest  Digest  `cbor:"4,keyasint"`
+}
+
+// Version is one that was published. Number 0 is what each member's own files say.
+type Version struct {
+	Number uint64  `cbor:"1,keyasint"`
+	Entry  uint64  `cbor:"2,keyasint"`
+	Sum    Digest  `cbor:"3,keyasint"` // of the text
+	Text   []byte  `cbor:"4,keyasint,omitempty"`
+	Least  string  `cbor:"5,keyasint,omitempty"`
+	Fence  bool    `cbor:"6,keyasint,omitempty"`
+	By     string  `cbor:"7,keyasint,omitempty"`
+	At     float64 `cbor:"8,keyasint"`
+}
+
+// Member is one as the history has it.
+type Member struct {
+	Name    string  `cbor:"1,keyasint"`
+	Address string  `cbor:"2,keyasint"`
+	Alone   Alone   `cbor:"3,keyasint"`
+	Shut    bool    `cbor:"4,keyasint,omitempty"`
+	Removed bool    `cbor:"5,keyasint,omitempty"`
+	Since   float64 `cbor:"6,keyasint"`
+}
+
+// Voter is one that has a seat in the council.
+type Voter struct {
+	Name    string `cbor:"1,keyasint"`
+	Address string `cbor:"2,keyasint"`
+	Seat    uint64 `cbor:"3,keyasint"` // its number in the consensus; another one after its folder was lost
+}
+
+// asked is a request that was carried out.
+type asked struct {
+	Request string `cbor:"1,keyasint"`
+	Entry   uint64 `cbor:"2,keyasint"`
+	Version uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// content is what entries add up to.
+type content struct {
+	Fleet    string    `cbor:"1,keyasint"`
+	N        uint64    `cbor:"2,keyasint"`
+	Members  []Member  `cbor:"3,keyasint"` // by name
+	Versions []Version `cbor:"4,keyasint"` // by number
+	Newest   uint64    `cbor:"5,keyasint"`
+	Fenced   uint64    `cbor:"6,keyasint"` // the newest that fences
+	Requests []asked   `cbor:"7,keyasint"`
+	Voters   []Voter   `cbor:"8,keyasint"` // by name
+}
+
+// State is the history up to an entry. Not for use from several goroutines at once.
+type State struct {
+	c      content
+	last   Entry // zero before the first
+	digest Digest
+}
+
+// What may be wrong.
+var (
+	ErrGap     = errors.New("entries are missing")
+	ErrFork    = errors.New("another history")
+	ErrRefused = errors.New("refused")
+	ErrFormat  = errors.New("a form that this program does not know")
+)
+
+var encoding = func() cbor.EncMode {
+	m, err := cbor.EncOptions{Sort: cbor.SortCoreDeterministic}.EncMode()
+	if err != nil {
+		panic(err) // of constant options
+	}
+	return m
+}()
+
+// Encode gives the one form of a value of this package.
+func Encode(v any) []byte {
+	b, err := encoding.Marshal(v)
+	if err != nil {
+		panic(err) // of plain structs
+	}
+	return b
+}
+
+// Decode reads it.
+func Decode(b []byte, v any) error {
+	if err := cbor.Unmarshal(b, v); err != nil {
+		return fmt.Errorf("%w: %w", ErrFormat, err)
+	}
+	return nil
+}
+
+// mostVoters may have a seat at once; one more while one is replaced.
+const mostVoters = 5
+
+// NewState is a fleet without history, with its first voters in the order of their names.
+func NewState(name string, voters ...Voter) *State {
+	s := &State{c: content{Fleet: name, Voters: voters}}
+	s.digest = sha256.Sum256(Encode(s.c))
+	return s
+}
+
+// N is the number of the last entry, 0 for none.
+func (s *State) N() uint64 { return s.c.N }
+
+// Digest proves the history up to N.
+func (s *State) Digest() Digest { return s.digest }
+
+// Newest is the number of the newest version; Fenced of the newest that fences.
+func (s *State) Newest() uint64 { return s.c.Newest }
+
+// Fenced as Newest.
+func (s *State) Fenced() uint64 { return s.c.Fenced }
+
+// Versions are those that are remembered, oldest first; the caller must not change them.
+func (s *State) Versions() []Version { return s.c.Versions }
+
+// Version finds one.
+func (s *State) Version(n uint64) (Version, bool) {
+	k, ok := slices.BinarySearchFunc(s.c.Versions, n, func(v Version, n uint64) int { return int(int64(v.Number) - int64(n)) })
+	if !ok {
+		return Version{}, false
+	}
+	return s.c.Versions[k], true
+}
+
+// Members are all that the history knows, by name; the caller must not change them.
+func (s *State) Members() []Member { return s.c.Members }
+
+// Member finds one.
+func (s *State) Member(name string) (Member, bool) {
+	k, ok := s.find(name)
+	if !ok {
+		return Member{}, false
+	}
+	return s.c.Members[k], true
+}
+
+func (s *State) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(s.c.Members, name, func(m Member, name string) int {
+		return strings.Compare(m.Name, name)
+	})
+}
+
+// Result is what became of a command.
+type Result struct {
+	Entry   uint64 `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint,omitempty"`
+	Again   bool   `cbor:"3,keyasint,omitempty"` // it had been carried out before
+}
+
+// Apply carries out a command that the council has agreed on, in its order. A command that is refused, or that was
+// carried out before, makes no entry; this is the same for everybody who applies it.
+func (s *State) Apply(c Command) (Result, *Entry, error) {
+	for _, a := range s.c.Requests {
+		if c.Request != "" && a.Request == c.Request {
+			return Result{Entry: a.Entry, Version: a.Version, Again: true}, nil, nil
+		}
+	}
+	next, version, err := s.after(c)
+	if err != nil {
+		return Result{}, nil, err
+	}
+	e := Entry{N: s.c.N + 1, Prev: s.digest, Command: c}
+	e.Digest = digest(e, next)
+	s.c, s.last, s.digest = next, e, e.Digest
+	return Result{Entry: e.N, Version: version}, &e, nil
+}
+
+// Follow takes the next entry as it was made elsewhere. An error changes nothing.
+func (s *State) Follow(e Entry) error {
+	if e.N != s.c.N+1 {
+		return fmt.Errorf("%w: entry %d after %d", ErrGap, e.N, s.c.N)
+	}
+	if e.Prev != s.digest {
+		return fmt.Errorf("%w: entry %d follows %s, here is %s", ErrFork, e.N, e.Prev, s.digest)
+	}
+	next, _, err := s.after(e.Command)
+	if err != nil {
+		return fmt.Errorf("entry %d: %w", e.N, err)
+	}
+	if digest(e, next) != e.Digest { // its maker's program applies it otherwise, or it was damaged
+		return fmt.Errorf("%w: entry %d leads elsewhere here", ErrFork, e.N)
+	}
+	s.c, s.last, s.digest = next, e, e.Digest
+	return nil
+}
+
+func digest(e Entry, after content) Digest {
+	sum := sha256.Sum256(Encode(after))
+	e.Digest = sum
+	return sha256.Sum256(Encode(e))
+}
+
+// after is the state once the command is carried out; s stays as it is.
+func (s *State) after(c Command) (content, uint64, error) {
+	refuse := func(format string, a ...any) (content, uint64, error) {
+		return content{}, 0, fmt.Errorf("%w: %s", ErrRefused, fmt.Sprintf(format, a...))
+	}
+	next := s.c
+	next.N++
+	version := uint64(0)
+	switch c.Kind {
+	case Published:
+		if len(c.Text) > MostText {
+			return refuse("a version of %d bytes, at most %d are allowed", len(c.Text), MostText)
+		}
+		if c.Least != "" && !semver.IsValid("v"+c.Least) {
+			return refuse("least program version %q is no version such as 0.2.0", c.Least)
+		}
+		if c.After > 0 && c.After-1 != s.c.Newest {
+			return refuse("the newest version is %d, not %d", s.c.Newest, c.After-1)
+		}
+		next.Newest++
+		version = next.Newest
+		v := Version{Number: version, Entry: next.N, Sum: sha256.Sum256(c.Text), Text: c.Text, Least: c.Least, Fence: c.Fence, By: c.By, At: c.At}
+		next.Versions = append(slices.Clone(s.c.Versions), v)
+		if over := len(next.Versions) - keepVersions; over > 0 {
+			next.Versions = next.Versions[over:]
+		}
+		if old := len(next.Versions) - 1 - keepTexts; old >= 0 {
+			next.Versions[old].Text = nil
+		}
+		if c.Fence {
+			next.Fenced = version
+		}
+	case Admitted, Removed, ShutOut:
+		if c.Member == "" || len(c.Member) > mostName {
+			return refuse("%q is no name of a member", c.Member)
+		}
+		k, known := s.find(c.Member)
+		next.Members = slices.Clone(s.c.Members)
+		if !known {
+			if c.Kind != Admitted {
+				return refuse("no member is called %s", c.Member)
+			}
+			next.Members = slices.Insert(next.Members, k, Member{Name: c.Member})
+		}
+		m := &next.Members[k]
+		m.Since = c.At
+		switch c.Kind {
+		case Admitted:
+			m.Shut, m.Removed = false, false
+			if c.Address != "" {
+				m.Address = c.Address
+			}
+			if c.Alone != "" {
+				m.Alone = c.Alone
+			}
+		case Removed:
+			m.Removed = true
+		case ShutOut:
+			m.Shut = true
+		}
+	case Seated, Unseated:
+		next.Voters = slices.DeleteFunc(slices.Clone(s.c.Voters), func(v Voter) bool { return v.Name == c.Member })
+		if c.Kind == Seated {
+			if c.Member == "" || c.Address == "" || c.Seat == 0 {
+				return refuse("a voter needs a name, an address and a seat")
+			}
+			next.Voters = append(next.Voters, Voter{c.Member, c.Address, c.Seat})
+			slices.SortFunc(next.Voters, func(x, y Voter) int { return strings.Compare(x.Name, y.Name) })
+		} else if len(next.Voters) == len(s.c.Voters) {
+			return refuse("no voter is called %s", c.Member)
+		}
+		if n := len(next.Voters); n == 0 || n > mostVoters {
+			return refuse("%d voters would be left; there have to be 1 to %d", n, mostVoters)
+		}
+	default:
+		return refuse("an entry of kind %d is unknown to this program", c.Kind)
+	}
+	if c.Request != "" {
+		next.Requests = append(slices.Clone(s.c.Requests), asked{c.Request, next.N, version})
+		if over := len(next.Requests) - keepRequests; over > 0 {
+			next.Requests = next.Requests[over:]
+		}
+	}
+	return next, version, nil
+}
+
+// snapshot is a state as it is passed on.
+type snapshot struct {
+	Format  int     `cbor:"1,keyasint"`
+	Content content `cbor:"2,keyasint"`
+	Last    Entry   `cbor:"3,keyasint"`
+}
+
+// Snapshot is the state as one text.
+func (s *State) Snapshot() []byte { return Encode(snapshot{Format, s.c, s.last}) }
+
+// Restore reads a snapshot. One whose content is not what its last entry led to is refused.
+func Restore(b []byte) (*State, error) {
+	var x snapshot
+	if err := Decode(b, &x); err != nil {
+		return nil, fmt.Errorf("snapshot: %w", err)
+	}
+	if x.Format != Format {
+		return nil, fmt.Errorf("snapshot: %w: format %d", ErrFormat, x.Format)
+	}
+	if x.Content.N == 0 {
+		return NewState(x.Content.Fleet, x.Content.Voters...), nil
+	}
+	if x.Last.N != x.Content.N || digest(x.Last, x.Content) != x.Last.Digest {
+		return nil, fmt.Errorf("snapshot: %w: its content is not what entry %d led to", ErrFork, x.Last.N)
+	}
+	return &State{c: x.Content, last: x.Last, digest: x.Last.Digest}, nil
+}
+
+// Voters are those that have a seat, by name; the caller must not change them.
+func (s *State) Voters() []Voter { return s.c.Voters }
+
+// Fleet is the name of the fleet that the history is of.
+func (s *State) Fleet() string { return s.c.Fleet }
+
+// Clone is a copy that goes on by itself.
+func (s *State) Clone() *State {
+	c := *s
+	return &c // contents are never changed in place
+}
+
+// Understands tells whether a program of the given version understands one that asks for the least.
+func Understands(program, least string) bool {
+	return least == "" || semver.Compare("v"+program, "v"+least) >= 0
+}
--- /dev/null
+++ b/internal/member/gate.go
@@ -0,0 +1,92 @@
+// This file owns the gate, which forbids, and the record of acts, which counts: both are asked by the reducer at each act
+// and must never make it wait.
+
+package member
+
+import (
+	"math"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"weldmast/internal/fleet"
+)
+
+// Clock tells the time of a member. Both go on through a suspension; neither is moved by who sets the machine's clock.
+type Clock struct{ unix float64 }
+
+// NewClock begins now.
+func NewClock() Clock { return Clock{unix: float64(time.Now().UnixMicro())/1000 - boot()} }
+
+// boot is the time since the machine's start, in milliseconds.
+func boot() float64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		panic(err) // every Linux has it
+	}
+	return float64(t.Sec)*1000 + float64(t.Nsec)/1e6
+}
+
+// Now is the clock of leases.
+func (c Clock) Now() float64 { return boot() }
+
+// Unix is the same as Unix time by the machine's clock at the process's start, for people.
+func (c Clock) Unix() float64 { return c.unix + boot() }
+
+// Gate is asked before each hand-off and told of each act.
+type Gate struct {
+	clock   Clock
+	until   atomic.Uint64 // bits of the time until which it is open
+	stalled float64       // the member's
+
+	mu  sync.Mutex
+	run fleet.Run
+}
+
+// NewGate is closed, with nothing booked.
+func NewGate(c Clock, run string) *Gate {
+	g := &Gate{clock: c, run: fleet.Run{ID: run, Began: c.Unix()}}
+	g.run.Since(g.run.Began, 0)
+	g.set(math.Inf(-1))
+	return g
+}
+
+func (g *Gate) set(until float64) { g.until.Store(math.Float64bits(until)) }
+
+// Open tells whether new work may be taken and handed off at this moment.
+func (g *Gate) Open() bool {
+	until := math.Float64frombits(g.until.Load())
+	return math.IsInf(until, 1) || !math.IsInf(until, -1) && g.clock.Now() < until
+}
+
+// InForce notes that a version is in force from now on.
+func (g *Gate) InForce(version uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.run.Since(g.clock.Unix(), version)
+}
+
+// Act books one under the version in force.
+func (g *Gate) Act(a fleet.Act) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.run.Book(g.clock.Unix(), a)
+}
+
+// record is the run up to now.
+func (g *Gate) record() fleet.Run {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.run.Saved = g.clock.Unix()
+	return g.run.Clone()
+}
+
+// end notes that nothing more will be done.
+func (g *Gate) end() {
+	g.set(math.Inf(-1))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.run.Ended = true
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,410 @@
+// Package member is the part of a fleet's process that follows: it keeps up with the history, renews its lease, brings
+// versions into force and tells what was done under each. Its decisions are those of internal/fleet. It must never decide
+// where work goes, vote, or hold up the reducer: what that asks it answers from values that are there.
+//
+// This file owns its goroutines; the others the folder and the gate.
+package member
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"weldmast/internal/fleet"
+	"weldmast/internal/fleetlink"
+)
+
+// Options say which member this is.
+type Options struct {
+	Fleet   string
+	Name    string
+	Address string
+	Alone   fleet.Alone
+	Voters  []fleet.Voter // as the operator's file has them; the history's go before
+	Folder  string
+	Figures fleet.Figures
+	Program string // its version
+	Run     string
+	Seed    uint64
+	Clock   Clock
+	Council fleetlink.Council // of this process; nil: none
+	Bound   func() bool       // the member's address is this process's
+	// Bring has a version brought into force. Applied is called once, from any goroutine, when nothing begun under an
+	// older one is still to be written; what waits for a restart is said. An error: it cannot be.
+	Bring func(v fleet.Version, applied func(waits string)) error
+}
+
+// Times of a member.
+const (
+	pollWait  = 2 * time.Second // a voter is asked to wait so long for news
+	pollMore  = time.Second     // and has so long more for its answer
+	pauseMost = 300 * time.Millisecond
+	saveEvery = time.Second
+	askWithin = 4 * time.Second
+)
+
+// Member is one at work.
+type Member struct {
+	o       Options
+	ctx     context.Context
+	stop    context.CancelFunc
+	client  *fleetlink.Client
+	gate    *Gate
+	folder  *folder
+	running sync.WaitGroup
+
+	mu     sync.Mutex // of all below
+	self   *fleet.Self
+	rnd    *rand.Rand
+	leader string // address of the voter that last led
+	runs   []fleet.Run
+	waits  string
+	fault  string // why it cannot follow
+	part   []byte // of a snapshot that is being fetched
+	upto   uint64
+}
+
+// Start takes up the folder and begins to follow. The first version that the folder knows is brought into force at once.
+func Start(o Options, g *Gate) *Member {
+	m := &Member{o: o, client: fleetlink.NewClient(o.Fleet), gate: g, rnd: rand.New(rand.NewPCG(o.Seed, 0x666c6565))}
+	m.ctx, m.stop = context.WithCancel(context.Background())
+	m.folder = openFolder(o.Folder)
+	state, runs := m.folder.read(o.Fleet)
+	m.runs = runs
+	m.self = fleet.NewSelf(o.Figures, o.Name, o.Program, o.Alone, state, o.Clock.Now())
+	m.mu.Lock()
+	m.bring()
+	m.open()
+	m.mu.Unlock()
+	m.running.Go(m.beats)
+	m.running.Go(m.follow)
+	m.running.Go(m.saves)
+	return m
+}
+
+// Close ends it, once the dispatcher has ended: the council is told that nothing more will be done.
+func (m *Member) Close() {
+	m.stop()
+	m.running.Wait()
+	m.gate.end()
+	m.beat(true)
+	m.save()
+	m.folder.close()
+	m.client.Close()
+}
+
+// Vote tells of the council of this process, which came up later.
+func (m *Member) Vote(c fleetlink.Council) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.o.Council = c
+}
+
+// council is that of this process; nil: none.
+func (m *Member) council() fleetlink.Council {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.o.Council
+}
+
+// open sets the gate anew. The lock is held.
+func (m *Member) open() { m.gate.set(m.self.OpenUntil(m.o.Clock.Now())) }
+
+// bring has the newest version brought into force. The lock is held.
+func (m *Member) bring() {
+	v, ok := m.self.Next()
+	if !ok {
+		if n, why := m.self.Refuses(); n > 0 && why != m.fault {
+			m.fault = why
+			slog.Error("fleet", "fleet", "refuses", "version", n, "err", why)
+		}
+		return
+	}
+	err := m.o.Bring(v, func(waits string) {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.self.Applied(v.Number)
+		m.waits = waits
+		m.bring() // a newer one may have come meanwhile
+		m.open()
+		slog.Info("fleet", "fleet", "in force", "version", v.Number, "waits_for_a_restart", waits)
+	})
+	if err != nil {
+		m.self.Refuse(v.Number, err)
+		slog.Error("fleet", "fleet", "refuses", "version", v.Number, "err", err)
+	}
+}
+
+// voters are the addresses at which the council may be found, drawn. The lock is held.
+func (m *Member) voters() (all []string) {
+	seated := m.self.State().Voters()
+	if len(seated) == 0 {
+		seated = m.o.Voters
+	}
+	for _, v := range seated {
+		all = append(all, v.Address)
+	}
+	m.rnd.Shuffle(len(all), func(a, b int) { all[a], all[b] = all[b], all[a] })
+	return all
+}
+
+// sleep waits a span; false: it is over.
+func (m *Member) sleep(span time.Duration) bool {
+	t := time.NewTimer(span)
+	defer t.Stop()
+	select {
+	case <-m.ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// pause is drawn, so that a fleet does not ask again in step.
+func (m *Member) pause() bool {
+	m.mu.Lock()
+	span := time.Duration((0.2 + 0.8*m.rnd.Float64()) * float64(pauseMost))
+	m.mu.Unlock()
+	return m.sleep(span)
+}
+
+// beats renews the lease.
+func (m *Member) beats() {
+	every := m.o.Figures.Beat
+	next := m.o.Clock.Now()
+	for {
+		if again := m.beat(false); again > 0 {
+			next = m.o.Clock.Now() + again - every
+		}
+		next = max(next+every, m.o.Clock.Now())
+		if !m.sleep(time.Duration((next - m.o.Clock.Now()) * 1e6)) {
+			return
+		}
+		// A process that was stopped or suspended says so.
+		if late := m.o.Clock.Now() - next; late > 2*every {
+			m.mu.Lock()
+			m.gate.stalled = late
+			m.open()
+			m.mu.Unlock()
+			slog.Warn("fleet", "fleet", "stalled", "ms", late)
+		}
+	}
+}
+
+// message is the beat as it is now. The lock is held.
+func (m *Member) message(leaving bool) fleet.Beat {
+	s := m.self.State()
+	b := fleet.Beat{Fleet: m.o.Fleet, Format: fleet.Format, Member: m.o.Name, Address: m.o.Address, Run: m.o.Run, Bound: m.o.Bound(),
+		Alone: m.o.Alone, Program: m.o.Program, N: s.N(), Digest: s.Digest(), InForce: m.self.InForce(), Leaving: leaving,
+		Stalled: m.gate.stalled, Waits: m.waits, Lease: m.o.Figures.Lease, Drift: m.o.Figures.Drift}
+	b.Refuses, b.Why = m.self.Refuses()
+	if m.fault != "" && b.Refuses == 0 {
+		b.Why = m.fault
+	}
+	b.Runs = append(slices.Clone(m.runs), m.gate.record())
+	if m.o.Council != nil {
+		b.Voter, b.Seat = m.o.Council.State()
+	}
+	return b
+}
+
+// beat tells the council once and takes its answer; it gives the time after which to do so again, if that is said.
+func (m *Member) beat(leaving bool) (again float64) {
+	within := time.Duration(2 * m.o.Figures.Beat * 1e6)
+	m.mu.Lock()
+	b, tries := m.message(leaving), m.voters()
+	if m.leader != "" {
+		tries = append([]string{m.leader}, slices.DeleteFunc(tries, func(a string) bool { return a == m.leader })...)
+	}
+	m.mu.Unlock()
+	began := time.Now()
+	for _, addr := range tries {
+		if time.Since(began) > within || m.ctx.Err() != nil && !leaving {
+			break
+		}
+		sent := m.o.Clock.Now()
+		a, err := m.client.Beat(addr, b, false, within)
+		if errors.Is(err, fleetlink.ErrElsewhere) {
+			m.cannot(err.Error())
+		}
+		if err != nil || a.NotLeader {
+			continue
+		}
+		m.mu.Lock()
+		m.leader = addr
+		if a.Leader != "" {
+			m.leader = a.Leader
+		}
+		m.self.Renewed(sent, a.Renewal)
+		m.gate.stalled = 0
+		m.open()
+		behind := a.Renewal.Newest > m.self.State().Newest()
+		m.mu.Unlock()
+		if a.Renewal.Granted == 0 && a.Renewal.Why != "" && a.Renewal.Again == 0 {
+			m.cannot(a.Renewal.Why)
+		} else {
+			m.cannot("")
+		}
+		if behind && !leaving { // the poll that is under way may hang in a link that is cut
+			m.fetch(addr, 0)
+		}
+		return a.Renewal.Again
+	}
+	m.mu.Lock()
+	m.leader = ""
+	m.open()
+	m.mu.Unlock()
+	return 0
+}
+
+// cannot notes why the council does not renew the lease.
+func (m *Member) cannot(why string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if why != m.fault && why != "" {
+		slog.Warn("fleet", "fleet", "no lease", "why", why)
+	}
+	m.fault = why
+}
+
+// follow keeps up with the history at any voter.
+func (m *Member) follow() {
+	for m.ctx.Err() == nil {
+		m.mu.Lock()
+		all := m.voters()
+		m.mu.Unlock()
+		for _, addr := range all {
+			for m.fetch(addr, pollWait) {
+				if m.ctx.Err() != nil {
+					return
+				}
+			}
+			if !m.pause() {
+				return
+			}
+		}
+	}
+}
+
+// fetch asks a voter once for what comes after; false: another one is to be asked.
+func (m *Member) fetch(addr string, wait time.Duration) bool {
+	m.mu.Lock()
+	s := m.self.State()
+	q := fleetlink.After{N: s.N(), Digest: s.Digest(), Wait: float64(wait) / 1e6, Skip: len(m.part), For: m.upto}
+	m.mu.Unlock()
+	b, err := m.client.Entries(addr, q, wait+pollMore)
+	if err != nil || b.Fault != "" || b.Busy {
+		return false
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case b.Fork:
+		err = fmt.Errorf("%w at entry %d, by the word of %s", fleet.ErrFork, q.N, addr)
+	case b.Size > 0:
+		err = m.snapshot(b)
+	default:
+		err = m.self.Follow(b.Entries)
+	}
+	if err != nil {
+		if m.fault != err.Error() {
+			slog.Error("fleet", "fleet", "cannot follow", "err", err)
+		}
+		m.fault = err.Error()
+		return false
+	}
+	if len(b.Entries) > 0 || b.Size > 0 && m.part == nil {
+		m.bring()
+		m.open()
+	}
+	return true
+}
+
+// snapshot takes a part of one; what is there already is kept where the link broke. The lock is held.
+func (m *Member) snapshot(b fleetlink.Batch) error {
+	if b.Skip == 0 || b.Upto != m.upto || b.Skip != len(m.part) {
+		if b.Skip != 0 {
+			m.part, m.upto = nil, 0
+			return nil
+		}
+		m.part = nil
+	}
+	m.part, m.upto = append(m.part, b.Snapshot...), b.Upto
+	if len(m.part) < b.Size {
+		return nil
+	}
+	text := m.part
+	m.part, m.upto = nil, 0
+	s, err := fleet.Restore(text)
+	if err != nil {
+		return err
+	}
+	return m.self.Replace(s)
+}
+
+// saves keeps the record and the history in the folder.
+func (m *Member) saves() {
+	for m.sleep(saveEvery) {
+		m.save()
+	}
+}
+
+func (m *Member) save() {
+	m.mu.Lock()
+	s, runs := m.self.State(), append(slices.Clone(m.runs), m.gate.record())
+	m.open() // what ends by time alone
+	m.mu.Unlock()
+	m.folder.write(s, runs)
+}
+
+// Ask answers an operator: by the council, at any voter that leads, or from what this member knows itself.
+func (m *Member) Ask(ctx context.Context, q fleetlink.Ask) (a fleetlink.Answer) {
+	m.mu.Lock()
+	all := m.voters()
+	m.mu.Unlock()
+	a.NoLeader = true
+	council := m.council()
+	if council != nil {
+		a = council.Ask(ctx, q)
+	}
+	for began := time.Now(); a.NoLeader && !q.Direct && time.Since(began) < askWithin && m.ctx.Err() == nil; {
+		for _, addr := range all {
+			if addr == m.o.Address {
+				if council != nil {
+					a = council.Ask(ctx, q)
+				}
+			} else if at, err := m.client.Ask(addr, fleetlink.Ask{Command: q.Command, Audit: q.Audit, Version: q.Version, Since: q.Since, Direct: true}, askWithin); err == nil {
+				a = at
+			}
+			if !a.NoLeader {
+				break
+			}
+		}
+		if a.NoLeader && !m.pause() {
+			break
+		}
+	}
+	a.Local = m.Local()
+	return a
+}
+
+// Local is what this member knows itself.
+func (m *Member) Local() *fleetlink.Local {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, now := m.self.State(), m.o.Clock.Now()
+	l := &fleetlink.Local{Member: m.o.Name, N: s.N(), Digest: s.Digest().String(), Newest: s.Newest(), InForce: m.self.InForce(),
+		Lease: max(m.self.Lease()-now, -1), Open: m.gate.Open(), Fork: m.fault, Waits: m.waits}
+	if n, why := m.self.Refuses(); n > 0 {
+		l.Refuses = fmt.Sprintf("version %d: %s", n, why)
+	}
+	if m.o.Council != nil {
+		l.Voter, _ = m.o.Council.State()
+	}
+	return l
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 
 	"weldmast/internal/dispatch"
 	"weldmast/internal/figures"
+	"weldmast/internal/fleet"
 )
 
 // Phase is where the program stands between its start and its exit.
@@ -43,6 +44,7 @@
 	killMargin  = 200  // all is answered so long before
 	handEvery   = 50   // what could not be handed over is looked at again after this time
 	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
+	gateEvery   = 10   // the gate is looked at so often while there is work
 	poolEvery   = 100  // the figures of the workers are at most so old, and a round
 	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
 	queueSize   = 4096 // values that wait for the reducer
@@ -78,6 +80,8 @@
 	GiveUp()
 	// Taken tells whether the worker has it: only its callbacks tell more.
 	Taken() bool
+	// Written tells whether nothing of it is still to be written.
+	Written() bool
 }
 
 // Sending is a hand-off to make.
@@ -88,6 +92,7 @@
 	Addr     string
 	Message  any     // what the front gave with the arrival
 	Patience float64 // how long the answer is waited for
+	Mark     string  // of the configuration in force; empty: none
 }
 
 // Client is one who waits for a work item's answer.
@@ -184,6 +189,16 @@
 	}
 	// Broken is the end of a watch.
 	Broken struct{ Watch int }
+	// Changed gives the configuration that is in force from now on.
+	Changed struct {
+		Version   uint64 // of the fleet's history; 0: the process's own
+		Settings  dispatch.Settings
+		MaxOpen   int
+		Mark      string
+		Discovery string // another address than before: it is moved to
+		// Applied is called once no hand-off begun under an older version is still to be written; nil: nobody asks.
+		Applied func()
+	}
 	// Moved gives the address at which discovery is found from now on.
 	Moved struct{ Discovery string }
 	// Heard is a sibling's message.
@@ -205,6 +220,15 @@
 	Unsure             // another process may know it
 )
 
+// Gate is a fleet's word on what this process may do. No call may block.
+type Gate interface {
+	// Open tells whether new work may be taken and handed off now.
+	Open() bool
+	// InForce tells that a version of the fleet's is in force, Act that something was done.
+	InForce(version uint64)
+	Act(fleet.Act)
+}
+
 // Known is all that a process tells the one that takes its place.
 type Known struct {
 	Discovery string // where the list comes from
@@ -329,6 +353,16 @@
 	endAt      float64 // and all that was taken since is answered by then
 	handAt     float64 // what still runs is handed over then; infinite: to nobody
 	dismissed  bool    // no more work is taken
+	gate       Gate    // nil: of no fleet
+	version    uint64  // of the fleet's history, in force
+	mark       string
+	older      []older // versions whose coming into force is to be told
+}
+
+// older are the hand-offs begun before a version was in force and not yet written.
+type older struct {
+	attempts []Attempt
+	applied  func()
 }
 
 // Options say what a node is to be.
@@ -344,6 +378,9 @@
 	Log   *slog.Logger // nil: the default one
 	// Figures are told of the workers; nil: none.
 	Figures *figures.Figures
+	Mark    string
+	// Gate is asked before each hand-off; nil: the process is of no fleet.
+	Gate Gate
 	// Decider decides; nil: the Dispatcher. Others are for measuring it.
 	Decider dispatch.Decider
 }
@@ -361,7 +398,7 @@
 	n := &Node{s: s, maxOpen: o.MaxOpen, d: o.Decider, queue: make(chan any, queueSize),
 		stopped: make(chan struct{}), clock: o.Clock, log: o.Log, items: map[uint64]*item{},
 		byID: map[string]*item{}, addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1),
-		watchAt: math.Inf(1), discovery: o.Discovery, revision: Whole, figures: o.Figures}
+		watchAt: math.Inf(1), discovery: o.Discovery, revision: Whole, figures: o.Figures, gate: o.Gate, mark: o.Mark}
 	if n.d == nil {
 		n.d = dispatch.New(s)
 	}
@@ -461,6 +498,12 @@
 // settle does what is due and, once in a grain, lets the Dispatcher decide.
 func (n *Node) settle() {
 	n.timers()
+	if n.gate != nil {
+		n.apply()
+		if n.now >= n.lastAt+n.s.Grain && !n.gate.Open() {
+			n.shut()
+		}
+	}
 	if (len(n.inbox) > 0 || n.wake) && n.now >= n.lastAt+n.s.Grain {
 		n.round()
 	}
@@ -472,6 +515,9 @@
 	if len(n.dues) > 0 {
 		at = min(at, n.dues[0].at)
 	}
+	if n.gate != nil && len(n.items) > 0 || len(n.older) > 0 { // the gate closes by time alone
+		at = min(at, n.now+gateEvery)
+	}
 	switch n.Phase() {
 	case Starting:
 		if t := n.startAt + knownAfter; n.now < t { // past it, only discovery can help
@@ -543,6 +589,8 @@
 		n.log.Info("moved", "discovery", v.Discovery, "was", n.discovery, "phase", n.Phase())
 		n.discovery, n.revision = v.Discovery, Whole
 		n.ask()
+	case Changed:
+		n.change(v)
 	case Heard:
 		n.inbox = append(n.inbox, v)
 	case Stop:
@@ -555,6 +603,64 @@
 	}
 }
 
+// change brings a configuration into force. This is the one place for it, whoever asked.
+func (n *Node) change(v Changed) {
+	if d, ok := n.d.(interface{ Change(dispatch.Settings) }); ok {
+		d.Change(v.Settings)
+	}
+	n.s, n.maxOpen, n.mark = v.Settings, v.MaxOpen, v.Mark
+	if n.version = v.Version; n.gate != nil {
+		n.gate.InForce(v.Version)
+	}
+	if v.Discovery != "" && v.Discovery != n.discovery {
+		n.reduce(Moved{v.Discovery})
+	}
+	if v.Applied == nil {
+		return
+	}
+	o := older{applied: v.Applied}
+	for _, it := range n.items {
+		for _, h := range it.hos {
+			if !h.ended && h.attempt != nil {
+				o.attempts = append(o.attempts, h.attempt)
+			}
+		}
+	}
+	n.older = append(n.older, o)
+	n.apply()
+}
+
+// apply tells of versions that are in force and before which nothing is still to be written.
+func (n *Node) apply() {
+	n.older = slices.DeleteFunc(n.older, func(o older) bool {
+		if slices.ContainsFunc(o.attempts, func(a Attempt) bool { return !a.Written() }) {
+			return false
+		}
+		o.applied()
+		return true
+	})
+}
+
+// shut gives up what waits while the fleet has shut this process out: what is out ends by itself. This guards against
+// work of a process that is behind, or that cannot know whether it is.
+func (n *Node) shut() {
+	for _, wi := range slices.Sorted(maps.Keys(n.items)) {
+		if it := n.items[wi]; !it.done && !it.handed && it.out == 0 {
+			n.inbox = append(n.inbox, shutOut(wi))
+		}
+	}
+}
+
+// book counts an act, where somebody keeps account.
+func (n *Node) book(a fleet.Act) {
+	if n.gate != nil {
+		n.gate.Act(a)
+	}
+}
+
+// allowed tells whether new work may be taken and handed off.
+func (n *Node) allowed() bool { return n.gate == nil || n.gate.Open() }
+
 // stop begins the end, anew when a process is there that takes this one's place: then no work is to be taken for longer
 // than clients may not know.
 func (n *Node) stop() {
@@ -578,6 +684,14 @@
 	case n.dismissed: // others will take it at once
 		c.Answer(Reply{Result: Deferred})
 		return
+	case !n.allowed(): // others of the fleet will take it
+		r := Reply{Result: Deferred}
+		if n.s.MayPause {
+			r.Pause = min(fullPause, n.s.MaxPause)
+		}
+		n.book(fleet.Deferred)
+		c.Answer(r)
+		return
 	case n.open >= n.maxOpen: // as the settings say, or no socket is left for one more client that waits
 		r := Reply{Result: Deferred}
 		if n.s.MayPause {
@@ -606,6 +720,13 @@
 	it.done = true
 	n.open--
 	n.answeredAt = n.now
+	switch r.Result {
+	case Deferred:
+		n.book(fleet.Deferred)
+	case Gone, HandedOver:
+	default:
+		n.book(fleet.Answered)
+	}
 	it.client.Answer(r)
 	if r.Result == Served || r.Result == WrittenOff || r.Result == Overdue {
 		n.use(it.client.ID)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -23,8 +23,9 @@
 	at string
 }
 
-func (a asked) Taken() bool { return !strings.Contains(a.at, "not taken") }
-func (a asked) GiveUp()     { a.s.note("give up %s", a.at) }
+func (a asked) Taken() bool   { return !strings.Contains(a.at, "not taken") }
+func (a asked) Written() bool { return !strings.Contains(a.at, "not taken") }
+func (a asked) GiveUp()       { a.s.note("give up %s", a.at) }
 
 func (s *script) note(format string, a ...any) {
 	fmt.Fprintf(&s.log, "%5.0f  "+format+"\n", append([]any{s.now}, a...)...)
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -5,11 +5,13 @@
 
 import (
 	"weldmast/internal/dispatch"
+	"weldmast/internal/fleet"
 )
 
 // What waits for the next round besides *item (an arrival), dispatch.Answer and Heard.
 type (
 	left    uint64
+	shutOut uint64
 	noticed struct {
 		wi    uint64
 		ho    int
@@ -46,6 +48,10 @@
 				Left: max(c.Expiry-n.now, 0), Within: v.within, Hint: c.Hint, Key: c.Key})
 		case left:
 			d.Left(uint64(v))
+		case shutOut:
+			if to, ok := d.(interface{ GiveUp(uint64) }); ok {
+				to.GiveUp(uint64(v))
+			}
 		case dispatch.Answer:
 			d.Answered(v)
 		case noticed:
@@ -96,10 +102,13 @@
 		n.ended(it, ho, dispatch.Moot, "")
 	case !known: // it left the list
 		n.ended(it, ho, dispatch.ConnectFailed, "")
+	case !n.allowed(): // what waits is given up with the next round
+		n.ended(it, ho, dispatch.Moot, "")
 	default:
 		it.hos[ho].never, it.hos[ho].addr = false, addr
 		it.hos[ho].attempt = n.front.Send(Sending{WI: wi, HO: ho, ID: it.client.ID, Addr: addr,
-			Message: it.client.Message, Patience: patience})
+			Message: it.client.Message, Patience: patience, Mark: n.mark})
+		n.book(fleet.HandedOff)
 		n.at(n.now+patience, wi, ho)
 	}
 }
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -33,6 +33,7 @@
 	Copies     bool      // second copies are allowed
 	Sockets    int
 	Figures    *figures.Figures // nil: none are asked for
+	Gate       node.Gate        // nil: of no fleet
 	// Exchange is with other processes of this dispatcher; nil: there are none, and the addresses are its alone.
 	Exchange *takeover.Exchange
 	Found    []*os.File      // sockets of an older process, served once it has handed over
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -58,13 +58,16 @@
 }
 
 // encode is the whole text for one worker.
-func (m *message) encode(addr string, patience float64) []byte {
-	b := make([]byte, 0, len(m.head)+len(m.body)+len(addr)+64)
+func (m *message) encode(addr string, patience float64, mark string) []byte {
+	b := make([]byte, 0, len(m.head)+len(m.body)+len(addr)+len(mark)+80)
 	b = append(b, m.head...)
 	b = append(b, "Host: "...)
 	b = append(b, addr...)
 	b = append(b, "\r\nX-Deadline: "...)
 	b = strconv.AppendFloat(b, patience/1000, 'f', 6, 64)
+	if mark != "" {
+		b = append(append(b, "\r\nX-Release: "...), mark...)
+	}
 	b = append(b, "\r\n\r\n"...)
 	return append(b, m.body...)
 }
@@ -85,6 +88,7 @@
 	most    int
 	copies  bool // second copies are allowed
 	figures *figures.Figures
+	gate    node.Gate // nil: of no fleet
 	mu      sync.Mutex
 	learned time.Duration // the same by connections that workers ended, as of learnAt
 	learnAt time.Time     // zero: never
@@ -97,12 +101,15 @@
 	ms, l := float64(time.Millisecond), o.Links
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
 		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), copies: o.Copies,
-		figures: o.Figures, idle: map[string][]*workerConn{}}
+		figures: o.Figures, gate: o.Gate, idle: map[string][]*workerConn{}}
 }
 
 // errTooMany: all connections to workers that the limit allows are in use. The hand-off could not connect.
 var errTooMany = errors.New("too many connections to workers")
 
+// errShut: the fleet has shut this process out, so nothing was written.
+var errShut = errors.New("shut out by the fleet")
+
 // get takes an idle connection that is fit for use, or opens one.
 func (w *workers) get(ctx context.Context, addr string) (*workerConn, error) {
 	gone := w.idleFor // the least time after which one was found closed
@@ -297,6 +304,13 @@
 	return a.taken && !a.given
 }
 
+// Written tells whether nothing of it is still to be written.
+func (a *attempt) Written() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.written || a.over
+}
+
 func (a *attempt) run(ctx context.Context) {
 	defer a.cancel()
 	conn, err := a.w.get(ctx, a.s.Addr)
@@ -315,7 +329,13 @@
 	a.mu.Unlock()
 	// The node times it; the deadline is for the case that it never asks.
 	conn.SetDeadline(time.Now().Add(time.Duration(a.s.Patience*1e6) + dropWithin))
-	text := a.s.Message.(*message).encode(a.s.Addr, a.s.Patience)
+	// The last look before the bytes: a connection that was long in coming up must not outlast the fleet's word.
+	if a.w.gate != nil && !a.w.gate.Open() {
+		a.release(conn, nil, true)
+		a.end(dispatch.ConnectFailed, errShut)
+		return
+	}
+	text := a.s.Message.(*message).encode(a.s.Addr, a.s.Patience, a.s.Mark)
 	if n, err := conn.Write(text); n < len(text) {
 		a.release(conn, err, false)
 		a.end(dispatch.ConnectFailed, err)
--- /dev/null
+++ b/internal/program/ask.go
@@ -0,0 +1,429 @@
+// This file owns the operators' side of a fleet: its commands, and how answers are shown. It must never know more than what
+// a member answers.
+
+package program
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/user"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"weldmast/internal/config"
+	"weldmast/internal/fleet"
+	"weldmast/internal/fleetlink"
+)
+
+type fleetCommand struct {
+	Status  *fleetStatus  `arg:"subcommand:status" help:"how each member stands to the newest version"`
+	Audit   *fleetAudit   `arg:"subcommand:audit" help:"who acted on which version, and what is not known"`
+	Publish *fleetPublish `arg:"subcommand:publish" help:"a version for all members: what of the configuration is to differ (JSON)"`
+	ShutOut *fleetName    `arg:"subcommand:shut-out" help:"a member takes no new work until it is admitted"`
+	Admit   *fleetName    `arg:"subcommand:admit" help:"a member that was shut out or removed is in again"`
+	Remove  *fleetName    `arg:"subcommand:remove" help:"a member is none any longer: nothing waits for it"`
+	Voters  *fleetVoters  `arg:"subcommand:voters" help:"who votes; --replace NAME seats one anew that lost its folder"`
+}
+
+// asking is what all of them have.
+type asking struct {
+	At      string `arg:"--at" placeholder:"ADDRESS:PORT" help:"a member's address; else the voters of the operator's file are tried in turn"`
+	Fleet   string `arg:"--fleet" placeholder:"NAME" help:"the fleet's name, with --at"`
+	File    string `arg:"-f,--file" placeholder:"PATH" help:"the operator's file; WELDMAST_FILE names it as well"`
+	JSON    bool   `arg:"--json" help:"print the answer as JSON"`
+	Request string `arg:"--request" placeholder:"TEXT" help:"number of the request: the same again, after an answer was lost, is carried out once"`
+}
+
+type (
+	fleetStatus struct{ asking }
+	fleetAudit  struct {
+		asking
+		Version uint64 `arg:"--version" help:"only this one"`
+		Since   string `arg:"--since" placeholder:"TIME" help:"only versions published since: 2026-12-01T10:00:00Z, or 15m for a time ago"`
+	}
+	fleetPublish struct {
+		asking
+		Text  string  `arg:"positional,required" placeholder:"FILE" help:"a JSON merge patch over each member's configuration; it may say discovery, mark, settings"`
+		Fence bool    `arg:"--fence" help:"tell, once it is true, that nobody acts on an older one"`
+		Least string  `arg:"--least" placeholder:"VERSION" help:"least program version that understands it"`
+		After *uint64 `arg:"--after" placeholder:"N" help:"refused unless N is the newest version"`
+		Wait  bool    `arg:"--wait" help:"wait until all that can be reached have it in force, with --fence until that is complete"`
+	}
+	fleetName struct {
+		asking
+		Member string `arg:"positional,required" placeholder:"NAME"`
+	}
+	fleetVoters struct {
+		asking
+		Replace string `arg:"--replace" placeholder:"NAME"`
+	}
+)
+
+const (
+	askWithin  = 10 * time.Second
+	waitWithin = 2 * time.Minute
+	waitEvery  = 200 * time.Millisecond
+)
+
+// asker finds a member and asks it.
+type asker struct {
+	asking
+	client *fleetlink.Client
+	addrs  []string
+}
+
+func (a asking) asker() (*asker, error) {
+	x := &asker{asking: a, addrs: []string{a.At}}
+	name := a.Fleet
+	if a.At == "" || name == "" {
+		o, err := config.LoadOperator(a.File, os.Getenv)
+		if err != nil {
+			return nil, err
+		}
+		if o.Fleet == nil {
+			return nil, fmt.Errorf("no [fleet] in the operator's file: name it by --file, or say --at and --fleet")
+		}
+		name = cmp.Or(name, o.Fleet.Name)
+		if a.At == "" {
+			x.addrs = nil
+			for _, v := range o.Fleet.Voters {
+				_, addr, _ := strings.Cut(v, " ")
+				x.addrs = append(x.addrs, strings.TrimSpace(addr))
+			}
+		}
+	}
+	if x.Request == "" {
+		var b [8]byte
+		if _, err := rand.Read(b[:]); err != nil {
+			return nil, fmt.Errorf("fleet: %w", err)
+		}
+		x.Request = hex.EncodeToString(b[:])
+	}
+	x.client = fleetlink.NewClient(name)
+	return x, nil
+}
+
+// ask asks members in turn until one has an answer.
+func (x *asker) ask(q fleetlink.Ask) (a fleetlink.Answer, err error) {
+	err = errNobody
+	for _, addr := range x.addrs {
+		got, e := x.client.Ask(addr, q, askWithin)
+		if e != nil {
+			err = e
+			continue
+		}
+		if a, err = got, nil; !a.NoLeader {
+			return a, nil
+		}
+	}
+	return a, err
+}
+
+// command has something stand in the history.
+func (x *asker) command(c fleet.Command) (fleetlink.Answer, error) {
+	c.Request, c.At = x.Request, float64(time.Now().UnixMicro())/1000
+	c.By = "unknown"
+	if u, err := user.Current(); err == nil {
+		c.By = u.Username
+	}
+	a, err := x.ask(fleetlink.Ask{Command: c})
+	switch {
+	case err != nil:
+		return a, fmt.Errorf("%w; whether it was taken is not known: the same again with --request %s carries it out once", err, x.Request)
+	case a.NoLeader:
+		return a, fmt.Errorf("the council has no leader that can be reached; whether it was taken is not known: the same again with --request %s carries it out once", x.Request)
+	case a.Fault != "":
+		return a, fmt.Errorf("%s", a.Fault)
+	}
+	return a, nil
+}
+
+func (c *fleetCommand) run(p *arg.Parser, out, errs io.Writer) int {
+	err := c.do(out)
+	switch {
+	case err == errUsage:
+		_ = p.WriteHelpForSubcommand(errs, p.SubcommandNames()...) // of our own arguments
+		return exitUsage
+	case err != nil:
+		for _, line := range config.Lines(err) {
+			fmt.Fprintln(errs, "weldmast: "+line)
+		}
+		return exitFault
+	}
+	return 0
+}
+
+var errUsage = fmt.Errorf("no such command")
+
+func (c *fleetCommand) do(out io.Writer) error {
+	of := func(kind fleet.Kind, n *fleetName) error {
+		x, err := n.asker()
+		if err != nil {
+			return err
+		}
+		a, err := x.command(fleet.Command{Kind: kind, Member: n.Member})
+		if err != nil {
+			return err
+		}
+		return x.show(out, a.Result, fmt.Sprintf("%s: %s, entry %d\n", n.Member, kind, a.Result.Entry))
+	}
+	switch {
+	case c.Status != nil:
+		return c.Status.do(out)
+	case c.Audit != nil:
+		return c.Audit.do(out)
+	case c.Publish != nil:
+		return c.Publish.do(out)
+	case c.ShutOut != nil:
+		return of(fleet.ShutOut, c.ShutOut)
+	case c.Admit != nil:
+		return of(fleet.Admitted, c.Admit)
+	case c.Remove != nil:
+		return of(fleet.Removed, c.Remove)
+	case c.Voters != nil:
+		return c.Voters.do(out)
+	}
+	return errUsage
+}
+
+// show prints a value as JSON where that was asked for, else the text.
+func (a asking) show(out io.Writer, v any, text string) error {
+	if !a.JSON {
+		_, err := io.WriteString(out, text)
+		return err
+	}
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+func (s *fleetStatus) do(out io.Writer) error {
+	x, err := s.asker()
+	if err != nil {
+		return err
+	}
+	a, err := x.ask(fleetlink.Ask{})
+	if err != nil {
+		return err
+	}
+	var b bytes.Buffer
+	if a.Status == nil {
+		fmt.Fprintln(&b, "no leader can be reached; this is what the member itself knows")
+		if l := a.Local; l != nil {
+			fmt.Fprintf(&b, "%s: version %d in force, %d is the newest it knows; lease %s; takes work: %v; voter: %s\n", l.Member, l.InForce, l.Newest, span(l.Lease), l.Open, cmp.Or(l.Voter, "none"))
+		}
+		if err := x.show(out, a.Local, b.String()); err != nil {
+			return err
+		}
+		return fmt.Errorf("the council has no leader that can be reached")
+	}
+	st := a.Status
+	fmt.Fprintf(&b, "fleet %s: %d entries, digest %s, newest version %d, led by %s\n", st.Fleet, st.N, st.Digest, st.Newest, st.Leader)
+	switch {
+	case st.Fenced > 0 && st.Fence > 0:
+		fmt.Fprintf(&b, "fence %d: complete since %s; nobody acts on an older version\n", st.Fenced, clock(st.Fence))
+	case st.Fenced > 0:
+		fmt.Fprintf(&b, "fence %d: not complete\n", st.Fenced)
+		for _, w := range st.Waits {
+			fmt.Fprintf(&b, "  waits for %s: %s%s\n", w.Member, w.Why, within(w.Until))
+		}
+	}
+	for _, v := range st.Voters {
+		fmt.Fprintf(&b, "voter %s: heard %s\n", v.Name, ago(v.Heard))
+	}
+	for _, m := range st.Members {
+		fmt.Fprintf(&b, "%-12s %-10s version %-4d lease %-8s heard %-16s %s\n", m.Member, m.Standing, m.InForce, span(m.Lease), ago(m.Heard), m.Cause)
+		for _, more := range []string{prefixed("waits for a restart: ", m.Waits), prefixed("voter: ", m.Voter)} {
+			if more != "" {
+				fmt.Fprintf(&b, "%-12s %s\n", "", more)
+			}
+		}
+	}
+	return x.show(out, st, b.String())
+}
+
+func prefixed(prefix, text string) string {
+	if text == "" {
+		return ""
+	}
+	return prefix + text
+}
+
+func span(ms float64) string {
+	if ms < 0 {
+		return "none"
+	}
+	return (time.Duration(ms) * time.Millisecond).String()
+}
+
+func ago(ms float64) string {
+	if ms < 0 {
+		return "never"
+	}
+	return span(ms) + " ago"
+}
+
+func within(ms float64) string {
+	if ms < 0 {
+		return ""
+	}
+	return ", over in " + span(ms)
+}
+
+func clock(unix float64) string {
+	if unix <= 0 {
+		return "-"
+	}
+	return time.UnixMilli(int64(unix)).UTC().Format("2006-01-02T15:04:05.000Z")
+}
+
+func (s *fleetAudit) do(out io.Writer) error {
+	x, err := s.asker()
+	if err != nil {
+		return err
+	}
+	q := fleetlink.Ask{Audit: true, Version: s.Version}
+	if s.Since != "" {
+		if d, err := time.ParseDuration(s.Since); err == nil {
+			q.Since = float64(time.Now().Add(-d).UnixMilli())
+		} else if t, err := time.Parse(time.RFC3339, s.Since); err == nil {
+			q.Since = float64(t.UnixMilli())
+		} else {
+			return fmt.Errorf("--since: %q is neither a time such as 2026-12-01T10:00:00Z nor one ago such as 15m", s.Since)
+		}
+	}
+	a, err := x.ask(q)
+	if err != nil {
+		return err
+	}
+	if a.Audit == nil {
+		return fmt.Errorf("the council has no leader that can be reached: nobody has all reports")
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "%d entries, digest %s, newest version %d\n", a.Audit.N, a.Audit.Digest, a.Audit.Newest)
+	for _, v := range a.Audit.Versions {
+		switch {
+		case v.Version == 0:
+			fmt.Fprintln(&b, "version 0: each member's own files")
+		case v.Complete > 0:
+			fmt.Fprintf(&b, "version %d %s: published %s by %s; fence complete %s\n", v.Version, v.Sum, clock(v.Published), v.By, clock(v.Complete))
+		default:
+			fmt.Fprintf(&b, "version %d %s: published %s by %s%s\n", v.Version, v.Sum, clock(v.Published), v.By, map[bool]string{true: "; fence not complete"}[v.Fence])
+		}
+		for _, w := range v.Waits {
+			fmt.Fprintf(&b, "  waits for %s: %s%s\n", w.Member, w.Why, within(w.Until))
+		}
+		if v.LastOlder > 0 {
+			fmt.Fprintf(&b, "  last act on an older one: %s by %s, as far as is known\n", clock(v.LastOlder), v.OlderBy)
+		}
+		for _, l := range v.Lines {
+			fmt.Fprintf(&b, "  %-12s run %.8s in force %s", l.Member, l.Run, clock(l.Acts.Since))
+			for k, t := range l.Acts.Kinds {
+				if t.Count > 0 {
+					fmt.Fprintf(&b, "; %s %d, %s to %s", fleet.Act(k), t.Count, clock(t.First), clock(t.Last))
+				}
+			}
+			fmt.Fprintf(&b, " (%s)\n", l.Evidence)
+		}
+	}
+	for _, g := range a.Audit.Unknown {
+		to := "now"
+		if g.Span.To > 0 {
+			to = clock(g.Span.To)
+		}
+		fmt.Fprintf(&b, "unknown: %s from %s to %s\n", g.Member, clock(g.Span.From), to)
+	}
+	for _, m := range a.Audit.Members {
+		if m.Standing != fleet.Current {
+			fmt.Fprintf(&b, "%s: %s, version %d: %s\n", m.Member, m.Standing, m.InForce, m.Cause)
+		}
+	}
+	return x.show(out, a.Audit, b.String())
+}
+
+func (s *fleetPublish) do(out io.Writer) error {
+	x, err := s.asker()
+	if err != nil {
+		return err
+	}
+	text, err := config.Version(s.Text)
+	if err != nil {
+		return err
+	}
+	c := fleet.Command{Kind: fleet.Published, Text: text, Least: s.Least, Fence: s.Fence}
+	if s.After != nil {
+		c.After = *s.After + 1
+	}
+	a, err := x.command(c)
+	if err != nil {
+		return err
+	}
+	said := fmt.Sprintf("version %d, entry %d%s\n", a.Result.Version, a.Result.Entry, map[bool]string{true: ", as before"}[a.Result.Again])
+	if !s.Wait {
+		return x.show(out, a.Result, said)
+	}
+	waits := ""
+	for end := time.Now().Add(waitWithin); time.Now().Before(end); time.Sleep(waitEvery) {
+		st, err := x.ask(fleetlink.Ask{})
+		if err != nil || st.Status == nil {
+			waits = "the council has no leader that can be reached"
+			continue
+		}
+		var open []string
+		if s.Fence {
+			for _, w := range st.Status.Waits {
+				open = append(open, w.Member+" ("+w.Why+")")
+			}
+		} else {
+			for _, m := range st.Status.Members {
+				if m.InForce < a.Result.Version && slices.Contains([]fleet.Standing{fleet.Current, fleet.Behind, fleet.Straggler}, m.Standing) {
+					open = append(open, m.Member+" ("+string(m.Standing)+": "+m.Cause+")")
+				}
+			}
+		}
+		if waits = strings.Join(open, ", "); waits == "" && (!s.Fence || st.Status.Fence > 0) {
+			if s.Fence {
+				said += fmt.Sprintf("fence complete since %s\n", clock(st.Status.Fence))
+			} else {
+				said += "in force at all that were heard of\n"
+			}
+			return x.show(out, a.Result, said)
+		}
+	}
+	return fmt.Errorf("%safter %s it still waits for %s", said, waitWithin, waits)
+}
+
+func (s *fleetVoters) do(out io.Writer) error {
+	x, err := s.asker()
+	if err != nil {
+		return err
+	}
+	if s.Replace != "" {
+		a, err := x.command(fleet.Command{Kind: fleet.Seated, Member: s.Replace})
+		if err != nil {
+			return err
+		}
+		return x.show(out, a.Result, fmt.Sprintf("%s: seated anew, entry %d\n", s.Replace, a.Result.Entry))
+	}
+	a, err := x.ask(fleetlink.Ask{})
+	if err != nil {
+		return err
+	}
+	if a.Status == nil {
+		return fmt.Errorf("the council has no leader that can be reached")
+	}
+	var b bytes.Buffer
+	for _, v := range a.Status.Voters {
+		fmt.Fprintf(&b, "%s: heard %s\n", v.Name, ago(v.Heard))
+	}
+	return x.show(out, a.Status.Voters, b.String())
+}
--- a/cmd/weldmast/migrate.go
+++ b/internal/program/migrate.go
@@ -1,6 +1,6 @@
 // This file owns the command that migrates a configuration. It must never change the old one.
 
-package main
+package program
 
 import (
 	"fmt"
--- a/cmd/weldmast/serve.go
+++ b/internal/program/serve.go
@@ -1,6 +1,6 @@
 // This file owns the serving program: it puts the parts together and waits for their end.
 
-package main
+package program
 
 import (
 	"fmt"
@@ -17,6 +17,7 @@
 
 	"weldmast/internal/config"
 	"weldmast/internal/figures"
+	"weldmast/internal/fleetlink"
 	"weldmast/internal/logs"
 	"weldmast/internal/node"
 	"weldmast/internal/operate"
@@ -68,7 +69,7 @@
 }
 
 // run serves until SIGTERM, then until all that was taken is answered.
-func (s *serveCommand) run(errs io.Writer) error {
+func (s *serveCommand) run(errs io.Writer, voting Voting) error {
 	stop := make(chan os.Signal, 1)
 	signal.Notify(stop, syscall.SIGTERM, os.Interrupt)
 	reload := make(chan os.Signal, 1) // its own: many of these must not crowd out the order to stop
@@ -109,8 +110,20 @@
 		}
 		o.Exchange, o.Shared = exchange, func(half bool) { aim(c.MemoryMB, half) }
 	}
-	n := node.New(node.Options{Settings: c.Settings, MaxOpen: c.Links.MaxOpen, Discovery: c.Discovery.String(),
-		Known: c.known, Figures: o.Figures})
+	no := node.Options{Settings: c.Settings, MaxOpen: c.Links.MaxOpen, Discovery: c.Discovery.String(), Known: c.known, Figures: o.Figures,
+		Mark: c.Mark}
+	force := &inForce{running: c.Config}
+	var of *part
+	if operator.Fleet != nil {
+		if of, err = join(operator.Fleet, c.Config, force, voting); err != nil {
+			return err
+		}
+		defer of.close()
+		no.Gate, o.Gate = of.gate, of.gate
+		o.Sockets -= fleetlink.Descriptors
+	}
+	n := node.New(no)
+	force.node = n
 	p, err := platform.Start(o, n)
 	if err != nil {
 		return err
@@ -145,7 +158,7 @@
 				}
 				heed(operator)
 				slog.Info("reload", "reload", "taken", "until_restart", fmt.Sprint(kept))
-				n.Queue(node.Moved{Discovery: next.Discovery.String()})
+				force.reload(next)
 			}
 		}
 	}()
@@ -159,6 +172,7 @@
 	if exchange != nil {
 		exchange.Run(p)
 	}
+	of.follow()
 	n.Run(p)
 	p.Close()
 	exchange.Close()
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -224,6 +224,9 @@
 // Taken: each is at once.
 func (a attempt) Taken() bool { return true }
 
+// Written: each is at once.
+func (a attempt) Written() bool { return true }
+
 // Continue has nobody to take one over from.
 func (h *host) Continue(s node.Sending) node.Attempt { return h.Send(s) }
 
