--- a/cmd/weldlab/main.go
+++ b/cmd/weldlab/main.go
@@ -29,6 +29,7 @@
 	Sweep   sweepCommand   `cmd:"" help:"Play one experiment over a range of one value."`
 	Table   tableCommand   `cmd:"" help:"Play the dispatcher and all baselines on experiments over the same seeds."`
 	Theory  theoryCommand  `cmd:"" help:"Hold the model beside queueing theory."`
+	Storm   stormCommand   `cmd:"" help:"Play days with drawn faults between several processes, judged from outside."`
 	Worlds  worldsCommand  `cmd:"" help:"Draw small worlds and troubles at random and hold the rules on each."`
 	Ceiling ceilingCommand `cmd:"" help:"Raise the rate until one dispatcher adds too much of its own."`
 	Demo    demoCommand    `cmd:"" help:"A dispatcher among stand-ins on loopback, shown live; troubles by key."`
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -82,6 +82,8 @@
 	lives    []int
 	began    map[int]int // of each exclusive job
 	made     map[string][]string
+	frozen   map[int]float64 // since when a dispatcher's process stands still
+	Stalled  int             // work items that only a standstill kept from their answer
 }
 
 type item struct {
@@ -93,9 +95,15 @@
 	gone     bool // its client left
 	died     bool // its dispatcher did
 	answers  int
+	thawed   float64 // its dispatcher stood still until then
 	hos      []sent
 }
 
+// limit is until when it must have been answered: a process that stands still is bound from its wake on.
+func (a *Audit) limit(it *item) float64 {
+	return max(it.deadline, it.thawed) + a.r.AnswerSlack + leniency
+}
+
 // sent is one hand-off.
 type sent struct {
 	at     float64
@@ -125,7 +133,7 @@
 // New makes an audit that has seen nothing.
 func New(r Rules) *Audit {
 	return &Audit{r: r, Count: map[Rule]int{}, items: map[string]*item{}, workers: map[string]*worker{},
-		began: map[int]int{}, made: map[string][]string{}}
+		began: map[int]int{}, made: map[string][]string{}, frozen: map[int]float64{}}
 }
 
 func (a *Audit) convict(at float64, rule Rule, id string, d int, worker, format string, args ...any) {
@@ -142,6 +150,7 @@
 		a.lives = append(a.lives, 0)
 	}
 	a.lives[d]++
+	delete(a.frozen, d)
 	a.told[d] = map[string]told{}
 }
 
@@ -155,6 +164,30 @@
 	a.order = slices.DeleteFunc(a.order, func(it *item) bool { return it.answers > 0 })
 }
 
+// Frozen: its process stands still from now on. It is no running dispatcher until it is Thawed, or Died.
+func (a *Audit) Frozen(at float64, d int) { a.frozen[d] = at }
+
+// Thawed: it goes on, and has to answer what is overdue at once. What it was told meanwhile, or too shortly before to act
+// on it, it is told now.
+func (a *Audit) Thawed(at float64, d int) {
+	since, ok := a.frozen[d]
+	if !ok {
+		return
+	}
+	delete(a.frozen, d)
+	for _, it := range a.order {
+		if it.d == d && it.life == a.lives[d] && it.answers == 0 {
+			it.thawed = at
+		}
+	}
+	for id, w := range a.told[d] {
+		if w.at+a.r.DrainGrace+leniency > since {
+			w.at = at
+			a.told[d][id] = w
+		}
+	}
+}
+
 // Taken: the last byte of a request is with the dispatcher. Job numbers the client's wish, the same for its retries.
 func (a *Audit) Taken(_ float64, d int, id string, category, job int, deadline float64) {
 	it := &item{id: id, d: d, life: a.lives[d], category: category, job: job, deadline: deadline}
@@ -177,7 +210,11 @@
 		return
 	}
 	it.gone = true
-	if at > it.deadline+a.r.AnswerSlack+leniency {
+	if _, frozen := a.frozen[it.d]; frozen {
+		a.Stalled++
+		return
+	}
+	if at > a.limit(it) {
 		a.convict(at, Lost, id, it.d, "", "not answered when its client left %.1f ms after its deadline", at-it.deadline)
 	}
 }
@@ -195,7 +232,7 @@
 	case it.answers > 1:
 		a.convict(at, Lost, id, it.d, "", "answer %d to one request", it.answers)
 	case it.gone: // nobody listens, or it was convicted then
-	case at > it.deadline+a.r.AnswerSlack+leniency:
+	case at > a.limit(it):
 		a.convict(at, Lost, id, it.d, "", "answered %.1f ms after its deadline", at-it.deadline)
 	}
 	if served && !slices.Contains(a.made[id], body) {
--- /dev/null
+++ b/internal/audit/fleet.go
@@ -0,0 +1,235 @@
+// This file judges a fleet from outside: by the release that workers saw on each hand-off, by what the council told its
+// operators, and by the audit that it gave at the end.
+
+package audit
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/anishathalye/porcupine"
+
+	"weldmast/internal/fleet"
+)
+
+// The rules of a fleet, beside those of each dispatcher.
+const (
+	Fenced  Rule = "nobody acts on an older version after a fence"
+	Booked  Rule = "every act stands in the audit or in an unknown span"
+	Ordered Rule = "one history of versions"
+	Healed  Rule = "all are current soon after the last fault"
+)
+
+// FleetRules in their order.
+var FleetRules = []Rule{Fenced, Booked, Ordered, Healed}
+
+// Seen is a hand-off as a worker saw it.
+type Seen struct {
+	At         float64
+	Dispatcher int
+	ID         string
+	Worker     string
+	Release    string
+	Thawed     float64 // its sender's process had last gone on then, 0: never stood still
+}
+
+// Call is one of an operator's, and what it was told; times are the operator's.
+type Call struct {
+	From, To float64 // To: when the answer came
+	Request  string  // published under it; empty: a reading
+	Known    bool    // an answer came
+	Version  uint64  // that it was told
+}
+
+// Fleet takes what crossed the wire of one.
+type Fleet struct {
+	Seen  []Seen
+	Calls []Call
+	// Complete is when an operator was first told that a version's fence is complete.
+	Complete map[uint64]float64
+	// Releases are the versions by what hand-offs bear; the empty one is 0.
+	Releases map[string]uint64
+	// Late counts hand-offs that came within a moment of their sender's going on: it stood still between look and write.
+	Late     int
+	Verdicts []Verdict
+}
+
+// moment is how long after its going on a process's hand-off may still be one that it looked for before; on a machine that
+// is busy with many of them.
+const moment = 150
+
+func (f *Fleet) convict(at float64, rule Rule, s Seen, format string, a ...any) {
+	f.Verdicts = append(f.Verdicts, Verdict{At: at, Rule: rule, ID: s.ID, Dispatcher: s.Dispatcher, Worker: s.Worker, What: fmt.Sprintf(format, a...)})
+}
+
+// Unhealed: a member was not current in time.
+func (f *Fleet) Unhealed(at float64, what string) {
+	f.convict(at, Healed, Seen{Dispatcher: -1}, "%s", what)
+}
+
+// Judge gives the verdicts. Final is the audit as the fleet told it once all was over, members its names by dispatcher;
+// unix turns the judge's time into Unix time.
+func (f *Fleet) Judge(final *fleet.Audit, members []string, unix func(float64) float64) {
+	f.fences()
+	f.order()
+	if final == nil {
+		f.convict(0, Booked, Seen{Dispatcher: -1}, "no audit was to be had")
+		return
+	}
+	f.booked(final, members, unix)
+}
+
+func (f *Fleet) fences() {
+	for _, s := range f.Seen {
+		version, known := f.Releases[s.Release]
+		if !known {
+			f.convict(s.At, Ordered, s, "handed off under release %q, which nobody published", s.Release)
+			continue
+		}
+		for fence, at := range f.Complete {
+			if version >= fence || s.At <= at+leniency {
+				continue
+			}
+			if s.Thawed > 0 && s.At < s.Thawed+moment {
+				f.Late++
+				continue
+			}
+			f.convict(s.At, Fenced, s, "handed off under version %d, %.1f ms after the fence of version %d was told to be complete", version, s.At-at, fence)
+		}
+	}
+	slices.SortFunc(f.Verdicts, func(a, b Verdict) int {
+		if a.At < b.At {
+			return -1
+		}
+		return 1
+	})
+}
+
+// order holds the operators' calls against one history: there has to be an order of them, each between its beginning and
+// its end, in which each publish is the next version once, and each reading sees the newest.
+func (f *Fleet) order() {
+	type state struct {
+		newest uint64
+		made   string // requests with their versions
+	}
+	type input struct{ request string }
+	type output struct {
+		known   bool
+		version uint64
+	}
+	var history []porcupine.Operation
+	end := 0.
+	for _, c := range f.Calls {
+		end = max(end, c.From, c.To)
+	}
+	for k, c := range f.Calls {
+		if !c.Known && c.Request == "" {
+			continue // a reading without an answer says nothing
+		}
+		to := c.To
+		if !c.Known { // it may be carried out at any time later, or never
+			to = end + 1e6
+		}
+		history = append(history, porcupine.Operation{ClientId: k, Input: input{c.Request}, Call: int64(c.From * 1000), Output: output{c.Known, c.Version}, Return: int64(to * 1000)})
+	}
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{state{}} },
+		Step: func(s, in, out any) []any {
+			st, i, o := s.(state), in.(input), out.(output)
+			if i.request == "" {
+				if o.version == st.newest {
+					return []any{st}
+				}
+				return nil
+			}
+			if v, ok := find(st.made, i.request); ok {
+				if !o.known || o.version == v {
+					return []any{st}
+				}
+				return nil
+			}
+			next := state{st.newest + 1, fmt.Sprintf("%s%s=%d;", st.made, i.request, st.newest+1)}
+			if !o.known {
+				return []any{st, next}
+			}
+			if o.version == next.newest {
+				return []any{next}
+			}
+			return nil
+		},
+		Equal: func(a, b any) bool { return a == b },
+	}
+	if !porcupine.CheckOperations(model.ToModel(), history) {
+		f.convict(end, Ordered, Seen{Dispatcher: -1}, "what %d operators' calls were told fits no one order", len(history))
+	}
+}
+
+// find reads a version from the texts above.
+func find(made, request string) (v uint64, ok bool) {
+	for at := 0; at < len(made); {
+		end := at
+		for made[end] != ';' {
+			end++
+		}
+		var name string
+		eq := at
+		for made[eq] != '=' {
+			eq++
+		}
+		if name = made[at:eq]; name == request {
+			fmt.Sscan(made[eq+1:end], &v)
+			return v, true
+		}
+		at = end + 1
+	}
+	return 0, false
+}
+
+// booked looks for each hand-off that a worker saw in the audit: in a line of its sender under its version whose first and
+// last act enclose it, or in a span of its sender called unknown.
+func (f *Fleet) booked(final *fleet.Audit, members []string, unix func(float64) float64) {
+	type key struct {
+		member  string
+		version uint64
+	}
+	lines, gaps := map[key][]fleet.Line{}, map[string][]fleet.Gap{}
+	for _, v := range final.Versions {
+		for _, l := range v.Lines {
+			k := key{l.Member, v.Version}
+			lines[k] = append(lines[k], l)
+		}
+	}
+	for _, g := range final.Unknown {
+		gaps[g.Member] = append(gaps[g.Member], g)
+	}
+	seen := map[key]uint64{}
+	for _, s := range f.Seen {
+		k := key{members[s.Dispatcher], f.Releases[s.Release]}
+		at := unix(s.At)
+		unknown := slices.ContainsFunc(gaps[k.member], func(g fleet.Gap) bool {
+			return at >= g.Span.From-leniency && (g.Span.To == 0 || at <= g.Span.To+leniency)
+		})
+		if unknown {
+			continue
+		}
+		seen[k]++
+		if !slices.ContainsFunc(lines[k], func(l fleet.Line) bool {
+			t := l.Acts.Kinds[fleet.HandedOff]
+			return t.Count > 0 && at >= t.First-leniency && at <= t.Last+connectMost
+		}) {
+			f.convict(s.At, Booked, s, "handed off under version %d, which the audit of %s has not", k.version, k.member)
+		}
+	}
+	for k, n := range seen {
+		booked := uint64(0)
+		for _, l := range lines[k] {
+			booked += l.Acts.Kinds[fleet.HandedOff].Count
+		}
+		if n > booked {
+			f.convict(0, Booked, Seen{Dispatcher: slices.Index(members, k.member)}, "%d hand-offs under version %d were seen, the audit has %d", n, k.version, booked)
+		}
+	}
+}
+
+// connectMost is how much later than it is booked a hand-off may reach a worker, at most: its connection has to come up.
+const connectMost = 1000
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -29,6 +29,7 @@
 	Beat   tomlfile.Span `toml:"beat" min:"20" max:"60000"`
 	Lease  tomlfile.Span `toml:"lease" min:"100" max:"600000"`
 	Drift  float64       `toml:"drift" min:"0" max:"0.2"`
+	Via    []string      `toml:"via"` // "address:port address:port": where a member's address is found from here
 }
 
 // Defaults of a fleet.
@@ -44,6 +45,7 @@
 	Folder  string
 	Alone   fleet.Alone
 	Figures fleet.Figures
+	Via     map[string]string // published address to where it is found from here; others are found where they are
 }
 
 // check finds what single values do not show.
@@ -72,6 +74,16 @@
 			f.near("fleet.listen", at, fault)
 		}
 	}
+	for k, v := range f.Via {
+		from, to, _ := strings.Cut(v, " ")
+		_, err := netip.ParseAddrPort(from)
+		at, err2 := netip.ParseAddrPort(strings.TrimSpace(to))
+		if key := fmt.Sprintf("fleet.via.%d", k); err != nil || err2 != nil {
+			fault(key, "%q is not two of address:port", v)
+		} else {
+			f.near(key, at, fault)
+		}
+	}
 	if f.Lease < 3*f.Beat {
 		fault("fleet.lease", "%g ms are less than three beats of %g", f.Lease, f.Beat)
 	}
@@ -94,6 +106,13 @@
 	if m.Name == "" || strings.ContainsAny(m.Name, "/ \x00") || m.Name == "." || m.Name == ".." {
 		return m, fmt.Errorf("fleet.member: %q can be no member's name: the configuration's name is used where none is said", m.Name)
 	}
+	for _, v := range f.Via {
+		if m.Via == nil {
+			m.Via = map[string]string{}
+		}
+		from, to, _ := strings.Cut(v, " ")
+		m.Via[from] = strings.TrimSpace(to)
+	}
 	for _, v := range f.Voters {
 		who, addr, _ := strings.Cut(v, " ")
 		addr = strings.TrimSpace(addr)
--- a/internal/council/core.go
+++ b/internal/council/core.go
@@ -84,11 +84,12 @@
 	Snap bool // SnapshotSent is to be told of it
 }
 
-// beat is one that waits for the word that this voter still leads.
+// beat is one that waits for the word that this voter still leads; or a reading that does.
 type beat struct {
 	b        fleet.Beat
 	received float64
 	answer   func(fleet.Renewal, error)
+	read     func(error) // in place of the others
 }
 
 type command struct {
@@ -360,7 +361,16 @@
 		answer(fleet.Renewal{}, ErrNotLeader)
 		return
 	}
-	c.waiting = append(c.waiting, beat{b, now, answer})
+	c.waiting = append(c.waiting, beat{b: b, received: now, answer: answer})
+}
+
+// Read has something done once a majority has said that this voter leads, so that it sees all that was answered before.
+func (c *Core) Read(now float64, read func(error)) {
+	if c.dead || !c.leads() {
+		read(ErrNotLeader)
+		return
+	}
+	c.waiting = append(c.waiting, beat{received: now, read: read})
 }
 
 // Take gives the messages to be sent. A leader that hears no majority says nothing: so others find another one, even
@@ -478,6 +488,10 @@
 
 func (c *Core) refuse(beats []beat) {
 	for _, b := range beats {
+		if b.read != nil {
+			b.read(ErrNotLeader)
+			continue
+		}
 		b.answer(fleet.Renewal{}, ErrNotLeader)
 	}
 }
@@ -525,6 +539,10 @@
 	beats := c.asked
 	c.asked, c.confirm = nil, 0
 	for _, b := range beats {
+		if b.read != nil {
+			b.read(nil)
+			continue
+		}
 		r, unknown := c.book.Beat(b.received, b.b, c.state)
 		if unknown {
 			c.admit(b)
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -22,6 +22,7 @@
 	Address string
 	Voters  []fleet.Voter // the first council, with addresses; seats are filled in
 	Folder  string
+	Via     map[string]string // where addresses are found from here
 	Figures fleet.Figures
 	Run     string
 	Seed    uint64
@@ -79,7 +80,7 @@
 	for k, v := range o.Voters {
 		o.Voters[k].Seat = FirstSeat(o.Fleet, v.Name)
 	}
-	c := &Council{o: o, inbox: make(chan func(), inboxSize), client: fleetlink.NewClient(o.Fleet),
+	c := &Council{o: o, inbox: make(chan func(), inboxSize), client: fleetlink.NewClient(o.Fleet, o.Via),
 		peers: map[uint64]*peer{}, wake: make(chan struct{}), state: "starting"}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.running.Go(c.run)
@@ -693,7 +694,13 @@
 		}
 		x := q.Command
 		if x.Kind == 0 {
-			out <- c.tell(q, fleet.Result{})
+			c.core.Read(c.o.Clock(), func(err error) {
+				if err != nil {
+					out <- fleetlink.Answer{NoLeader: true}
+					return
+				}
+				out <- c.tell(q, fleet.Result{})
+			})
 			return
 		}
 		if x.Kind == fleet.Seated && x.Seat == 0 {
@@ -730,8 +737,7 @@
 	return a
 }
 
-// tell says how the fleet stands. It is sure of its place only as of its last majority; what it says of fences is true
-// whoever leads now.
+// tell says how the fleet stands, after a majority has confirmed that this voter leads.
 func (c *Council) tell(q fleetlink.Ask, r fleet.Result) (a fleetlink.Answer) {
 	now, unix, s, b := c.o.Clock(), c.o.Unix(), c.core.State(), c.core.Book()
 	a.Result = r
--- a/internal/fleet/audit.go
+++ b/internal/fleet/audit.go
@@ -95,8 +95,11 @@
 func (b *Book) gaps(now float64, s *State) (all []Gap) {
 	for _, m := range s.Members() {
 		runs := b.runs[m.Name]
-		if len(runs) == 0 {
-			all = append(all, Gap{Member: m.Name, Span: Span{From: m.Since}})
+		switch {
+		case len(runs) == 0:
+			all = append(all, Gap{Member: m.Name, Span: Span{From: m.First}})
+		case runs[0].Began > m.First: // its folder lost what was before, or there were more than are kept
+			all = append(all, Gap{Member: m.Name, Span: Span{From: m.First, To: runs[0].Began}})
 		}
 		for k, run := range runs {
 			g := Gap{Member: m.Name, After: run.ID, Span: Span{From: run.Saved}}
--- a/internal/fleet/history.go
+++ b/internal/fleet/history.go
@@ -107,7 +107,8 @@
 	Alone   Alone   `cbor:"3,keyasint"`
 	Shut    bool    `cbor:"4,keyasint,omitempty"`
 	Removed bool    `cbor:"5,keyasint,omitempty"`
-	Since   float64 `cbor:"6,keyasint"`
+	Since   float64 `cbor:"6,keyasint"` // it stands as it does
+	First   float64 `cbor:"7,keyasint"` // it was first admitted
 }
 
 // Voter is one that has a seat in the council.
@@ -320,7 +321,7 @@
 			if c.Kind != Admitted {
 				return refuse("no member is called %s", c.Member)
 			}
-			next.Members = slices.Insert(next.Members, k, Member{Name: c.Member})
+			next.Members = slices.Insert(next.Members, k, Member{Name: c.Member, First: c.At})
 		}
 		m := &next.Members[k]
 		m.Since = c.At
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -264,15 +264,26 @@
 // Client calls other processes of the fleet. Each call is made once.
 type Client struct {
 	head Head
+	via  map[string]string
 	c    *fasthttp.Client
 }
 
-// NewClient speaks for the named fleet.
-func NewClient(name string) *Client {
-	return &Client{head: Head{name, fleet.Format}, c: &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
+// NewClient speaks for the named fleet. Via tells where addresses are found from here; those that it lacks are found where
+// they are.
+func NewClient(name string, via map[string]string) *Client {
+	c := &Client{head: Head{name, fleet.Format}, via: via}
+	c.c = &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		RetryIfErr:      func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxConnsPerHost: 64, MaxResponseBodySize: bodyMost, MaxIdleConnDuration: readWithin, StreamResponseBody: false,
-		Dial: func(addr string) (net.Conn, error) { return net.DialTimeout("tcp4", addr, dialWithin) }}}
+		Dial: func(addr string) (net.Conn, error) { return c.dial(addr, dialWithin) }}
+	return c
+}
+
+func (c *Client) dial(addr string, within time.Duration) (net.Conn, error) {
+	if other, ok := c.via[addr]; ok {
+		addr = other
+	}
+	return net.DialTimeout("tcp4", addr, within)
 }
 
 // Close ends idle connections.
@@ -335,7 +346,7 @@
 
 // There finds out what of a silent member is left: an error tells whether its address or its process is gone.
 func (c *Client) There(addr string, within time.Duration) (connects bool, err error) {
-	conn, err := net.DialTimeout("tcp4", addr, within)
+	conn, err := c.dial(addr, within)
 	if err != nil {
 		return false, fmt.Errorf("%s: %w", addr, err)
 	}
--- /dev/null
+++ b/internal/lab/storm.go
@@ -0,0 +1,181 @@
+// This file owns storms: days with faults that are drawn by number, each judged, and a broken one cut down to the fewest
+// faults that still break it.
+
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"sync"
+
+	"weldmast/internal/audit"
+	"weldmast/internal/sockets"
+	"weldmast/internal/world"
+)
+
+// Drawn is the experiment with the faults of a number in place of its storm.
+func Drawn(x *world.Experiment, number uint64) *world.Experiment {
+	y := *x
+	y.Faults = slices.Clone(x.Faults)
+	s := x.Storm
+	if s == nil {
+		return &y
+	}
+	r := rand.New(rand.NewPCG(number, 0x73746f726d))
+	harmed := map[int]bool{} // voters whose promise is gone
+	for range s.Faults/2 + r.IntN(s.Faults-s.Faults/2+1) {
+		f := world.Fault{What: s.What[r.IntN(len(s.What))]}
+		f.Defaults()
+		f.For = world.Span(50 + r.Float64()*(float64(s.Span)-50))
+		f.At = s.From + world.Span(r.Float64()*float64(max(s.Until-f.For-s.From, 0)))
+		all := r.Perm(x.Dispatchers.Count)
+		f.Hits = all[:1+r.IntN(min(s.Most, len(all)))]
+		switch f.What {
+		case "publish", "publish_twice":
+			f.For = 0
+			f.Amount = float64(r.IntN(2)) // half of them fence
+		case "link_late":
+			f.Amount = 20 + r.Float64()*400
+		case "dispatcher_kill", "dispatcher_stop":
+			f.For = 0
+		case "folder_empty", "folder_older", "folder_flipped":
+			f.For, f.Hits = 0, f.Hits[:1]
+			// So many voters may lose what they promised that the rest still has a majority.
+			if d := f.Hits[0]; x.Fleet != nil && d < x.Fleet.Voters && !harmed[d] {
+				if len(harmed) >= (x.Fleet.Voters-1)/2 {
+					f.What = "dispatcher_kill"
+				} else {
+					harmed[d] = true
+				}
+			}
+		}
+		y.Faults = append(y.Faults, f)
+	}
+	slices.SortStableFunc(y.Faults, func(a, b world.Fault) int {
+		switch {
+		case a.At < b.At:
+			return -1
+		case a.At > b.At:
+			return 1
+		}
+		return 0
+	})
+	return &y
+}
+
+// Stormed is what became of one storm.
+type Stormed struct {
+	Seed     uint64
+	Faults   int
+	Jobs     int
+	Answers  int
+	Versions int
+	Fences   int // told to be complete
+	Late     int // hand-offs of processes that stood still between look and write
+	Stalled  int // work items that only a standstill kept from their answer
+	Verdicts []audit.Verdict
+	Void     string
+	played   *world.Experiment
+}
+
+// Storm plays one number on sockets.
+func Storm(ctx context.Context, x *world.Experiment, seed uint64, o sockets.Options) (Stormed, error) {
+	y := Drawn(x, seed)
+	if o.Logs != "" { // one folder for each number
+		o.Logs = filepath.Join(o.Logs, strconv.FormatUint(seed, 10))
+		if err := os.MkdirAll(o.Logs, 0o755); err != nil {
+			return Stormed{Seed: seed}, fmt.Errorf("logs: %w", err)
+		}
+	}
+	p, err := sockets.Play(ctx, y, seed, o)
+	if err != nil {
+		return Stormed{Seed: seed}, err
+	}
+	s := Stormed{Seed: seed, Faults: len(y.Faults), Jobs: len(p.World.Jobs), Answers: p.World.Audit.Answers, Stalled: p.World.Audit.Stalled, Void: p.Void, played: y}
+	s.Verdicts = append(s.Verdicts, p.World.Audit.Verdicts...)
+	if f := p.Fleet; f != nil {
+		s.Verdicts = append(s.Verdicts, f.Verdicts...)
+		s.Late, s.Fences, s.Versions = f.Late, len(f.Complete), len(f.Releases)-1
+	}
+	if !p.Whole {
+		return s, ctx.Err()
+	}
+	return s, nil
+}
+
+// Line says it in one.
+func (s Stormed) Line() string {
+	head := fmt.Sprintf("seed %d: faults %d, jobs %d, answers %d, versions %d, fences complete %d, late acts %d, stalled %d", s.Seed, s.Faults, s.Jobs, s.Answers,
+		s.Versions, s.Fences, s.Late, s.Stalled)
+	switch {
+	case len(s.Verdicts) > 0:
+		return fmt.Sprintf("%s: broken %d: %s", head, len(s.Verdicts), s.Verdicts[0])
+	case s.Void != "":
+		return head + ": void: " + s.Void
+	}
+	return head + ": kept"
+}
+
+// Storms plays so many, some side by side, and prints a line for each. Broken are those with a verdict; a void one, on which
+// the lab itself was late, is played once more.
+func Storms(ctx context.Context, x *world.Experiment, first uint64, count, side int, o sockets.Options, out io.Writer) (broken, void []Stormed, err error) {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	seeds := make(chan uint64)
+	for range max(side, 1) {
+		wait.Go(func() {
+			for seed := range seeds {
+				s, e := Storm(ctx, x, seed, o)
+				if e == nil && s.Void != "" && len(s.Verdicts) == 0 {
+					s, e = Storm(ctx, x, seed, o)
+				}
+				mu.Lock()
+				switch {
+				case e != nil:
+					err = fmt.Errorf("seed %d: %w", seed, e)
+				default:
+					fmt.Fprintln(out, s.Line())
+				}
+				if len(s.Verdicts) > 0 {
+					broken = append(broken, s)
+				} else if s.Void != "" {
+					void = append(void, s)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for k := range count {
+		if ctx.Err() == nil {
+			seeds <- first + uint64(k)
+		}
+	}
+	close(seeds)
+	wait.Wait()
+	return broken, void, err
+}
+
+// Cut leaves out one fault after another for as long as the day still breaks without it. On sockets a day does not repeat
+// exactly; what is left broke it at least twice.
+func Cut(ctx context.Context, s Stormed, o sockets.Options, out io.Writer) ([]world.Fault, error) {
+	y := *s.played
+	for k := len(y.Faults) - 1; k >= 0 && ctx.Err() == nil; k-- {
+		less := y
+		less.Faults = slices.Delete(slices.Clone(y.Faults), k, k+1)
+		p, err := sockets.Play(ctx, &less, s.Seed, o)
+		if err != nil {
+			return y.Faults, err
+		}
+		if !p.World.Audit.Clean() || p.Fleet != nil && len(p.Fleet.Verdicts) > 0 {
+			y.Faults = less.Faults
+		}
+		fmt.Fprintf(out, "cut: %d faults left\n", len(y.Faults))
+	}
+	return y.Faults, nil
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -27,6 +27,7 @@
 	Alone   fleet.Alone
 	Voters  []fleet.Voter // as the operator's file has them; the history's go before
 	Folder  string
+	Via     map[string]string // where addresses are found from here
 	Figures fleet.Figures
 	Program string // its version
 	Run     string
@@ -71,7 +72,7 @@
 
 // Start takes up the folder and begins to follow. The first version that the folder knows is brought into force at once.
 func Start(o Options, g *Gate) *Member {
-	m := &Member{o: o, client: fleetlink.NewClient(o.Fleet), gate: g, rnd: rand.New(rand.NewPCG(o.Seed, 0x666c6565))}
+	m := &Member{o: o, client: fleetlink.NewClient(o.Fleet, o.Via), gate: g, rnd: rand.New(rand.NewPCG(o.Seed, 0x666c6565))}
 	m.ctx, m.stop = context.WithCancel(context.Background())
 	m.folder = openFolder(o.Folder)
 	state, runs := m.folder.read(o.Fleet)
--- a/internal/program/ask.go
+++ b/internal/program/ask.go
@@ -108,7 +108,7 @@
 		}
 		x.Request = hex.EncodeToString(b[:])
 	}
-	x.client = fleetlink.NewClient(name)
+	x.client = fleetlink.NewClient(name, nil)
 	return x, nil
 }
 
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -198,7 +198,7 @@
 		p.member.Vote(council)
 		return
 	}
-	p.member = member.Start(member.Options{Fleet: p.m.Fleet, Name: p.m.Name, Address: addr, Alone: p.m.Alone, Voters: p.m.Voters, Folder: p.m.Folder,
+	p.member = member.Start(member.Options{Fleet: p.m.Fleet, Name: p.m.Name, Address: addr, Alone: p.m.Alone, Voters: p.m.Voters, Via: p.m.Via, Folder: p.m.Folder,
 		Figures: p.m.Figures, Program: release, Run: p.run, Seed: p.seed, Clock: p.clock, Council: council, Bound: p.bound.Load, Bring: p.force.bring}, p.gate)
 }
 
--- /dev/null
+++ b/internal/sockets/fleet.go
@@ -0,0 +1,400 @@
+// This file owns a fleet's part of the rig: its members' files, the relays between each two of them, what is done to their
+// links and folders, and an operator who publishes and asks. It judges nothing itself.
+
+package sockets
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"weldmast/internal/audit"
+	"weldmast/internal/fleet"
+	"weldmast/internal/fleetlink"
+	"weldmast/internal/world"
+)
+
+const (
+	fleetName    = "lab"
+	membersAt    = "127.0.3.1:0"
+	lookEvery    = 200 * time.Millisecond // the operator asks how the fleet stands
+	lookWithin   = 1500 * time.Millisecond
+	askWithin    = 4 * time.Second
+	publishTries = 3
+)
+
+// fleetRig is the fleet of a day. What the world's goroutine does not own is behind the mutex.
+type fleetRig struct {
+	r       *rig
+	x       *world.Fleet
+	rnd     *rand.Rand // the world's goroutine's
+	addrs   []string
+	relays  map[[2]int]*relay // from one to another
+	client  *fleetlink.Client
+	alter   map[int]string // what is done to a folder before the next start
+	manners map[*world.Fault]func()
+	asked   int
+
+	mu   sync.Mutex
+	j    audit.Fleet
+	open map[string]bool // requests that were published and have no answer
+}
+
+func (r *rig) newFleet(seed uint64) error {
+	f := &fleetRig{r: r, x: r.x.Fleet, rnd: rand.New(rand.NewPCG(seed, 0x666c)), relays: map[[2]int]*relay{}, client: fleetlink.NewClient(fleetName, nil),
+		alter: map[int]string{}, manners: map[*world.Fault]func(){}, open: map[string]bool{},
+		j: audit.Fleet{Complete: map[uint64]float64{}, Releases: map[string]uint64{"": 0}}}
+	r.fleet = f
+	for range r.hosts {
+		addr, err := freeAddrAt(membersAt)
+		if err != nil {
+			return err
+		}
+		f.addrs = append(f.addrs, addr)
+	}
+	for from := range r.hosts {
+		var via []string
+		for to := range r.hosts {
+			if from == to || from >= f.x.Voters && to >= f.x.Voters { // followers do not speak to each other
+				continue
+			}
+			l, err := newRelay(f.addrs[to])
+			if err != nil {
+				return err
+			}
+			f.relays[[2]int{from, to}] = l
+			via = append(via, fmt.Sprintf("%q", f.addrs[to]+" "+l.addr()))
+		}
+		var voters []string
+		for v := range f.x.Voters {
+			voters = append(voters, fmt.Sprintf("%q", f.name(v)+" "+f.addrs[v]))
+		}
+		text := fmt.Sprintf("[fleet]\nname = %q\nlisten = %q\nvoters = [%s]\nvia = [%s]\nfolder = %q\nalone = %q\nbeat = %g\nlease = %g\ndrift = %g\n", fleetName,
+			f.addrs[from], strings.Join(voters, ", "), strings.Join(via, ", "), r.dir, f.x.Alone, float64(f.x.Beat), float64(f.x.Lease), f.x.Drift)
+		if err := os.WriteFile(f.file(from), []byte(text), 0o600); err != nil {
+			return fmt.Errorf("fleet: %w", err)
+		}
+	}
+	last := 0.
+	for _, x := range r.x.Faults {
+		end := float64(x.At + x.For)
+		if strings.HasPrefix(x.What, "folder_") || strings.HasPrefix(x.What, "dispatcher_") {
+			end += float64(r.x.Dispatchers.Restart + r.x.Dispatchers.Kill)
+		}
+		last = max(last, end)
+	}
+	r.w.At(startAfter+last, func() { r.running.Go(f.heal) })
+	r.running.Go(f.look)
+	return nil
+}
+
+func (f *fleetRig) name(d int) string   { return "n" + strconv.Itoa(d) }
+func (f *fleetRig) file(d int) string   { return filepath.Join(f.r.dir, fmt.Sprintf("fleet%d.toml", d)) }
+func (f *fleetRig) folder(d int) string { return filepath.Join(f.r.dir, f.name(d)) }
+
+// member tells which program a dispatcher is, and its file.
+func (f *fleetRig) member(d int) (program, file string) {
+	if d < f.x.Voters {
+		return f.r.o.Voter, f.file(d)
+	}
+	return f.r.o.Program, f.file(d)
+}
+
+// starts alters a folder before a start, as a fault had it, and keeps a copy of it as it is.
+func (f *fleetRig) starts(d int) {
+	dir, old := f.folder(d), f.folder(d)+".before"
+	var err error
+	switch f.alter[d] {
+	case "folder_empty":
+		err = os.RemoveAll(dir)
+	case "folder_older":
+		if _, err = os.Stat(old); err == nil {
+			if err = os.RemoveAll(dir); err == nil {
+				err = os.CopyFS(dir, os.DirFS(old))
+			}
+		}
+	case "folder_flipped":
+		err = f.flip(d)
+	}
+	delete(f.alter, d)
+	if err != nil && !os.IsNotExist(err) {
+		f.r.failed = fmt.Errorf("folder: %w", err)
+		return
+	}
+	if _, err := os.Stat(dir); err == nil {
+		if err = os.RemoveAll(old); err == nil {
+			err = os.CopyFS(old, os.DirFS(dir))
+		}
+		if err != nil {
+			f.r.failed = fmt.Errorf("folder: %w", err)
+		}
+	}
+}
+
+// flip turns one bit round in each file of a folder.
+func (f *fleetRig) flip(d int) error {
+	files, err := os.ReadDir(f.folder(d))
+	if err != nil {
+		return err
+	}
+	for _, x := range files {
+		path := filepath.Join(f.folder(d), x.Name())
+		text, err := os.ReadFile(path)
+		if err != nil || len(text) == 0 {
+			continue
+		}
+		text[f.rnd.IntN(len(text))] ^= 1 << f.rnd.IntN(8)
+		if err := os.WriteFile(path, text, 0o600); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// way gives one direction between two members a manner: what one opens, and what it answers to what the other opens.
+func (f *fleetRig) way(from, to int, m manner) {
+	if l := f.relays[[2]int{from, to}]; l != nil {
+		l.set(true, m)
+	}
+	if l := f.relays[[2]int{to, from}]; l != nil {
+		l.set(false, m)
+	}
+}
+
+// Trouble is one of links, folders or operators.
+func (r *rig) Trouble(x *world.Fault, hit []int, on bool) {
+	f := r.fleet
+	if f == nil {
+		return
+	}
+	if !on {
+		if undo := f.manners[x]; undo != nil {
+			undo()
+			delete(f.manners, x)
+		}
+		return
+	}
+	switch x.What {
+	case "publish", "publish_twice":
+		f.publish(x, hit)
+	case "folder_empty", "folder_older", "folder_flipped":
+		for _, d := range hit {
+			f.alter[d] = x.What
+		}
+	case "folder_gone":
+		for _, d := range hit {
+			_ = os.Rename(f.folder(d), f.folder(d)+".gone") // there may be none yet
+		}
+		f.manners[x] = func() {
+			for _, d := range hit {
+				if _, err := os.Stat(f.folder(d) + ".gone"); err == nil {
+					_ = os.RemoveAll(f.folder(d))
+					_ = os.Rename(f.folder(d)+".gone", f.folder(d))
+				}
+			}
+		}
+	case "folder_full":
+		limit := func(n uint64) {
+			for _, d := range hit {
+				if h := r.hosts[d]; h.up {
+					_ = unix.Prlimit(h.cmd.Process.Pid, unix.RLIMIT_FSIZE, &unix.Rlimit{Cur: n, Max: unix.RLIM_INFINITY}, nil) // it may have ended
+				}
+			}
+		}
+		limit(1)
+		f.manners[x] = func() { limit(unix.RLIM_INFINITY) }
+	default:
+		m := manner{what: strings.TrimPrefix(x.What, "link_"), late: time.Duration(x.Amount * 1e6)}
+		if m.what == "late" && m.late == 0 {
+			m.late = 200 * time.Millisecond
+		}
+		f.links(hit, m)
+		f.manners[x] = func() { f.links(hit, manner{}) }
+	}
+}
+
+// links gives all links of those hit with the rest a manner; one-way only what they say themselves.
+func (f *fleetRig) links(hit []int, m manner) {
+	for _, a := range hit {
+		for b := range f.r.hosts {
+			if a == b || slices.Contains(hit, b) {
+				continue
+			}
+			f.way(a, b, m)
+			if m.what != "oneway" {
+				f.way(b, a, m)
+			}
+		}
+	}
+}
+
+// publish has the operator publish a version by a member that was hit; without an answer again, by others, under the same
+// request. Twice: two operators at once, by two members.
+func (f *fleetRig) publish(x *world.Fault, hit []int) {
+	n := 1
+	if x.What == "publish_twice" {
+		n = 2
+	}
+	for k := range n {
+		f.asked++
+		request := fmt.Sprintf("r%d", f.asked)
+		at := hit[k%len(hit)]
+		f.mu.Lock()
+		f.open[request] = true
+		f.mu.Unlock()
+		f.r.running.Go(func() {
+			for try := range publishTries {
+				if f.tell(request, (at+try)%len(f.addrs), x.Amount > 0) || f.r.ctx.Err() != nil {
+					return
+				}
+			}
+		})
+	}
+}
+
+// tell publishes once; true: it was answered.
+func (f *fleetRig) tell(request string, at int, fence bool) bool {
+	call := audit.Call{From: f.r.now(), Request: request}
+	a, err := f.client.Ask(f.addrs[at], fleetlink.Ask{Command: fleet.Command{Kind: fleet.Published, Request: request, By: "lab", At: float64(time.Now().UnixMilli()),
+		Text: []byte(`{"mark":"` + request + `"}`), Fence: fence}}, askWithin)
+	call.To = f.r.now()
+	call.Known = err == nil && !a.NoLeader && a.Fault == ""
+	call.Version = a.Result.Version
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.j.Calls = append(f.j.Calls, call)
+	if call.Known {
+		f.j.Releases[request] = call.Version
+		delete(f.open, request)
+	}
+	return call.Known
+}
+
+// status asks one member how the fleet stands.
+func (f *fleetRig) status(at int, audited bool) (fleetlink.Answer, bool) {
+	call := audit.Call{From: f.r.now()}
+	a, err := f.client.Ask(f.addrs[at], fleetlink.Ask{Audit: audited}, lookWithin)
+	call.To = f.r.now()
+	if err != nil || a.Status == nil {
+		return a, false
+	}
+	call.Known, call.Version = true, a.Status.Newest
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.j.Calls = append(f.j.Calls, call)
+	if st := a.Status; st.Fence > 0 {
+		if _, told := f.j.Complete[st.Fenced]; !told {
+			f.j.Complete[st.Fenced] = call.To
+		}
+	}
+	return a, true
+}
+
+// look is an operator who watches, by one member after another.
+func (f *fleetRig) look() {
+	for at := 0; f.wait(lookEvery); at = (at + 1) % len(f.addrs) {
+		f.status(at, false)
+	}
+}
+
+func (f *fleetRig) wait(span time.Duration) bool {
+	select {
+	case <-f.r.ctx.Done():
+		return false
+	case <-time.After(span):
+		return true
+	}
+}
+
+// heal is what comes after the last fault: what was published without an answer is asked for once more, voters that lost
+// their folders are seated anew, and all members have to be current in time.
+func (f *fleetRig) heal() {
+	began := f.r.now()
+	by := began + float64(f.x.Heal)
+	what := "no leader"
+	for f.r.now() < by && f.wait(50*time.Millisecond) {
+		f.mu.Lock()
+		var open []string
+		for request := range f.open {
+			open = append(open, request)
+		}
+		f.mu.Unlock()
+		slices.Sort(open)
+		for k, request := range open {
+			f.tell(request, k%len(f.addrs), false)
+		}
+		for at := range f.addrs {
+			a, ok := f.status(at, false)
+			if !ok {
+				continue
+			}
+			what = ""
+			for _, m := range a.Status.Members {
+				if strings.HasPrefix(m.Voter, "lost its folder") {
+					f.seat(m.Member)
+				}
+				if m.Standing != fleet.Current {
+					what += fmt.Sprintf(" %s is %s (%s)", m.Member, m.Standing, m.Cause)
+				}
+			}
+			if len(a.Status.Members) < len(f.addrs) {
+				what += fmt.Sprintf(" %d of %d members", len(a.Status.Members), len(f.addrs))
+			}
+			break
+		}
+		if what == "" && len(open) == 0 {
+			return
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.j.Unhealed(f.r.now(), fmt.Sprintf("%.0f ms after the last fault:%s", f.r.now()-began, what))
+}
+
+// seat gives a voter that lost its folder a new seat.
+func (f *fleetRig) seat(name string) {
+	_, _ = f.client.Ask(f.addrs[0], fleetlink.Ask{Command: fleet.Command{Kind: fleet.Seated, Member: name, Request: "seat " + name, By: "lab"}}, askWithin) // asked again if it fails
+}
+
+// saw notes a hand-off that came to a worker, on the world's goroutine.
+func (f *fleetRig) saw(d *door, id, release string, came float64) {
+	_, thawed := f.r.w.Frozen(d.h.n)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.j.Seen = append(f.j.Seen, audit.Seen{At: came, Dispatcher: d.h.n, ID: id, Worker: d.worker, Release: release, Thawed: thawed})
+}
+
+// judge asks for the last audit and judges the day. The members go on meanwhile.
+func (f *fleetRig) judge() *audit.Fleet {
+	var final *fleet.Audit
+	time.Sleep(2 * time.Duration(f.x.Beat*1e6)) // the last acts come with the next beats
+	for k := range 3 * len(f.addrs) {
+		if a, ok := f.status(k%len(f.addrs), true); ok && a.Audit != nil {
+			final = a.Audit
+			break
+		}
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var names []string
+	for d := range f.addrs {
+		names = append(names, f.name(d))
+	}
+	f.j.Judge(final, names, f.r.unix)
+	return &f.j
+}
+
+func (f *fleetRig) close() {
+	f.client.Close()
+	for _, l := range f.relays {
+		l.close()
+	}
+}
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -28,12 +28,14 @@
 	"github.com/prometheus/procfs"
 	"github.com/valyala/fasthttp"
 
+	"weldmast/internal/audit"
 	"weldmast/internal/world"
 )
 
 // Options say what is played.
 type Options struct {
 	Program     string // bin/weldmast
+	Voter       string // bin/weldmast-voter, of a fleet's voters
 	File        string // the operator's file for each dispatcher; empty: none
 	Logs        string // folder for the dispatchers' logs; empty: they are dropped
 	MemoryMB    int    // limits, as the configuration has them
@@ -67,6 +69,7 @@
 	Start float64 // when clients came, on the world's clock
 	Whole bool    // it was not ended before its time
 	Usage []Usage
+	Fleet *audit.Fleet            // judged; nil: the dispatchers are of none
 	Late  *hdrhistogram.Histogram // microseconds
 	Void  string                  // why the lab spoilt the day; empty: it did not
 }
@@ -95,6 +98,7 @@
 	calls   *fasthttp.Client
 	at      sync.Map // port of a listener to its door
 	failed  error
+	fleet   *fleetRig // nil: the dispatchers are of none
 	hushed  atomic.Bool
 	spent   atomic.Bool // the lab has no descriptor left
 }
@@ -166,6 +170,11 @@
 			return nil, err
 		}
 	}
+	if x.Fleet != nil {
+		if err := r.newFleet(seed); err != nil {
+			return nil, err
+		}
+	}
 	p = &Played{World: r.w, Late: r.late}
 	p.Start = startAfter
 	r.w.Begin(r, p.Start)
@@ -176,6 +185,9 @@
 	if p.Whole && !o.Endless {
 		r.advance(r.now() + 300)
 		r.w.Audit.Finish(r.w.Now())
+		if r.fleet != nil {
+			p.Fleet = r.fleet.judge()
+		}
 	}
 	for _, h := range r.hosts {
 		r.collect(h)
@@ -311,8 +323,10 @@
 )
 
 // freeAddr is an address for a dispatcher that nobody listens at.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp4", dispatchersAt)
+func freeAddr() (string, error) { return freeAddrAt(dispatchersAt) }
+
+func freeAddrAt(at string) (string, error) {
+	l, err := net.Listen("tcp4", at)
 	if err != nil {
 		return "", fmt.Errorf("lab: %w", err)
 	}
@@ -403,7 +417,9 @@
 // Start runs a dispatcher's process.
 func (r *rig) Start(d int, known []world.Member) {
 	h := r.hosts[d]
-	h.starts++
+	if h.starts++; r.fleet != nil {
+		r.fleet.starts(d)
+	}
 	if err := r.configure(h, uint64(h.starts)<<32|uint64(d+1), known); err != nil {
 		r.failed = err
 		return
@@ -430,8 +446,12 @@
 // launch runs one more process of a dispatcher; nil: the lab failed. Only where processes take each other's place do they
 // have an address for operators and a folder to meet in.
 func (r *rig) launch(h *host) (cmd *exec.Cmd, ops string) {
-	cmd = exec.Command(r.o.Program, "serve")
-	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_OPS=", "ROUTER_DISCOVERY=", "WELDMAST_FILE="+r.o.File)
+	program, file := r.o.Program, r.o.File
+	if r.fleet != nil {
+		program, file = r.fleet.member(h.n)
+	}
+	cmd = exec.Command(program, "serve")
+	cmd.Env = append(os.Environ(), "ROUTER_CONFIG="+h.config, "ROUTER_NAME=", "ROUTER_LISTEN=", "ROUTER_OPS=", "ROUTER_DISCOVERY=", "WELDMAST_FILE="+file)
 	if slices.ContainsFunc(r.x.Faults, func(f world.Fault) bool { return f.What == "dispatcher_upgrade" }) {
 		temp := filepath.Join(r.dir, strconv.Itoa(h.n))
 		var err error
@@ -562,6 +582,15 @@
 // Reload as Stop.
 func (r *rig) Reload(d int) { r.signal(d, syscall.SIGHUP) }
 
+// Freeze stops a process or has it go on.
+func (r *rig) Freeze(d int, on bool) {
+	if on {
+		r.signal(d, syscall.SIGSTOP)
+	} else {
+		r.signal(d, syscall.SIGCONT)
+	}
+}
+
 func (r *rig) signal(d int, s syscall.Signal) {
 	if h := r.hosts[d]; h.up {
 		_ = h.cmd.Process.Signal(s) // one that has just ended needs none
@@ -579,6 +608,9 @@
 		}
 	}
 	r.stop()
+	if r.fleet != nil {
+		r.fleet.close()
+	}
 	for _, h := range r.hosts {
 		_ = h.disc.Close()
 		for _, c := range h.relays {
--- a/internal/sockets/standins.go
+++ b/internal/sockets/standins.go
@@ -169,10 +169,14 @@
 	}
 	id := string(ctx.Request.Header.Peek("X-Request-Id"))
 	end := make(chan world.End, 2)
+	release, came := string(ctx.Request.Header.Peek("X-Release")), r.now()
 	r.do(func() {
 		if old := d.out[id]; old != nil {
 			r.w.GiveUp(old) // its connection was closed, or it would not be sent again
 		}
+		if r.fleet != nil {
+			r.fleet.saw(d, id, release, came)
+		}
 		d.out[id] = r.w.Send(d.h.n, id, d.worker, end)
 	})
 	var how world.End
--- a/internal/virtual/virtual.go
+++ b/internal/virtual/virtual.go
@@ -59,12 +59,14 @@
 
 // host is one dispatcher's process.
 type host struct {
-	p    *port
-	n    int
-	node *node.Node
-	turn uint64 // number of the present plan to wake it
-	gone bool
-	open map[string]*node.Client
+	p     *port
+	n     int
+	node  *node.Node
+	turn  uint64 // number of the present plan to wake it
+	gone  bool
+	still bool  // it stands still
+	held  []any // what came meanwhile
+	open  map[string]*node.Client
 }
 
 type port struct {
@@ -113,7 +115,29 @@
 	})
 }
 
-func (h *host) step(values ...any) { h.planned(h.node.Step(values...)) }
+func (h *host) step(values ...any) {
+	if h.still {
+		h.held = append(h.held, values...)
+		return
+	}
+	h.planned(h.node.Step(values...))
+}
+
+// Freeze has a node stand still, or go on with what came meanwhile.
+func (p *port) Freeze(d int, on bool) {
+	h := p.hosts[d]
+	if h == nil || h.gone || h.still == on {
+		return
+	}
+	if h.still = on; !on {
+		held := h.held
+		h.held = nil
+		h.step(held...)
+	}
+}
+
+// Trouble is of a fleet's links and folders, which there are none of here yet.
+func (p *port) Trouble(*world.Fault, []int, bool) {}
 
 // to gives a value to a dispatcher's node, if it lives.
 func (p *port) to(d int, v any) bool {
--- a/internal/world/crook_test.go
+++ b/internal/world/crook_test.go
@@ -145,6 +145,8 @@
 func (c *crook) Reload(int)                  {}
 func (c *crook) Upgrade(int)                 {}
 func (c *crook) Flood(int, float64, float64) {}
+func (c *crook) Freeze(int, bool)            {}
+func (c *crook) Trouble(*Fault, []int, bool) {}
 
 const crooked = `
 length = "4s"
--- a/internal/world/direct.go
+++ b/internal/world/direct.go
@@ -44,3 +44,9 @@
 func (p *Direct) Reload(int)                  {}
 func (p *Direct) Upgrade(int)                 {}
 func (p *Direct) Flood(int, float64, float64) {}
+
+// Freeze and Trouble are of processes.
+func (p *Direct) Freeze(int, bool) {}
+
+// Trouble as Freeze.
+func (p *Direct) Trouble(*Fault, []int, bool) {}
--- a/internal/world/dispatchers.go
+++ b/internal/world/dispatchers.go
@@ -60,7 +60,7 @@
 
 // end is a process's: its connections are reset, what was out at workers goes on there.
 func (w *World) end(d *dispatcher) {
-	d.up, d.ready, d.watching = false, false, false
+	d.up, d.ready, d.watching, d.frozen = false, false, false, false
 	life := d.life
 	w.Audit.Died(w.now, d.n)
 	for _, id := range d.order {
@@ -87,6 +87,36 @@
 	}
 }
 
+// freeze has a process stand still: its connections stay, nothing is read or written. The clients' front sees that as it
+// sees a death.
+func (w *World) freeze(d *dispatcher, span float64) {
+	if !d.up || d.frozen {
+		return
+	}
+	life := d.life
+	d.frozen = true
+	w.Audit.Frozen(w.now, d.n)
+	w.port.Freeze(d.n, true)
+	w.After(float64(w.X.Network.Notice), func() {
+		if d.life == life && d.frozen {
+			d.noticed = false
+		}
+	})
+	w.After(span, func() {
+		if d.life != life || !d.up {
+			return
+		}
+		d.frozen, d.noticed, d.thawed = false, d.ready, w.now
+		w.Audit.Thawed(w.now, d.n)
+		w.port.Freeze(d.n, false)
+	})
+}
+
+// Frozen tells whether a dispatcher stands still, and when it last went on.
+func (w *World) Frozen(d int) (frozen bool, thawed float64) {
+	return w.dispatchers[d].frozen, w.dispatchers[d].thawed
+}
+
 func (w *World) stopDispatcher(d *dispatcher) {
 	if !d.up {
 		return
--- a/internal/world/experiment.go
+++ b/internal/world/experiment.go
@@ -30,8 +30,38 @@
 	Arrivals    Arrivals    `toml:"arrivals"`
 	Clients     Clients     `toml:"clients"`
 	Faults      []Fault     `toml:"fault"`
+	Fleet       *Fleet      `toml:"fleet"` // nil: the dispatchers are of none
+	Storm       *Storm      `toml:"storm"` // faults to draw; nil: none
 }
 
+// Fleet says how the dispatchers are one.
+type Fleet struct {
+	Voters int     `toml:"voters" min:"1" max:"5"` // the first of them
+	Alone  string  `toml:"alone" oneof:"serve stop"`
+	Beat   Span    `toml:"beat" min:"20"`
+	Lease  Span    `toml:"lease" min:"100"`
+	Drift  float64 `toml:"drift" min:"0" max:"0.2"`
+	Heal   Span    `toml:"heal" min:"100"` // after the last fault all must be current within this time
+}
+
+// Defaults of a fleet.
+func (f *Fleet) Defaults() {
+	f.Voters, f.Alone, f.Beat, f.Lease, f.Drift, f.Heal = 3, "stop", 250, 1000, 0.01, 5000
+}
+
+// Storm says what is drawn for a day.
+type Storm struct {
+	Faults int      `toml:"faults" min:"1" max:"1000"` // so many at most, at least half of that
+	From   Span     `toml:"from" min:"0"`
+	Until  Span     `toml:"until" min:"0"` // the last has ended by then
+	Span   Span     `toml:"span" min:"1"`  // of one, at most
+	Most   int      `toml:"most" min:"1"`  // dispatchers that one hits
+	What   []string `toml:"what"`          // a kind that is named twice is drawn twice as often
+}
+
+// Defaults of a storm.
+func (s *Storm) Defaults() { s.Faults, s.From, s.Until, s.Span, s.Most = 12, 1000, 10000, 2000, 3 }
+
 // Dispatchers says how many there are and what they are allowed.
 type Dispatchers struct {
 	Count        int     `toml:"count" min:"1" max:"4096"`
@@ -129,7 +159,7 @@
 type Fault struct {
 	At     Span    `toml:"at" min:"0" need:"true"`
 	For    Span    `toml:"for" min:"0"`
-	What   string  `toml:"what" need:"true" oneof:"kill vanish site_loss cut drain deploy slow neighbour fail tail burst discovery_silent discovery_late list_wrong messages_lost messages_late callbacks_repeat callbacks_late dispatcher_kill dispatcher_stop dispatcher_reload dispatcher_upgrade clients_flood clock_jump"`
+	What   string  `toml:"what" need:"true" oneof:"kill vanish site_loss cut drain deploy slow neighbour fail tail burst discovery_silent discovery_late list_wrong messages_lost messages_late callbacks_repeat callbacks_late dispatcher_kill dispatcher_stop dispatcher_reload dispatcher_upgrade dispatcher_freeze clients_flood clock_jump link_cut link_oneway link_late link_held link_reset link_trickle link_half folder_full folder_gone folder_empty folder_older folder_flipped publish publish_twice"`
 	Site   string  `toml:"site"`
 	Kind   string  `toml:"kind"`
 	Tenant string  `toml:"tenant"`
@@ -137,6 +167,7 @@
 	Share  float64 `toml:"share" min:"0" max:"1"`
 	Amount float64 `toml:"amount"` // what it means stands with each kind of fault in docs/lab.md
 	Of     string  `toml:"of" oneof:"workers clients siblings discovery"`
+	Hits   []int   `toml:"hits"` // dispatchers by number, in place of drawn ones
 }
 
 // Defaults of a kind.
@@ -188,6 +219,17 @@
 	if x.Arrivals.Rate == 0 && x.Arrivals.Load == 0 {
 		fault("arrivals", "a rate or a load is needed")
 	}
+	if f := x.Fleet; f != nil {
+		if f.Voters > x.Dispatchers.Count {
+			fault("fleet.voters", "%d of %d dispatchers", f.Voters, x.Dispatchers.Count)
+		}
+		if f.Voters == 2 || f.Voters == 4 {
+			fault("fleet.voters", "there have to be 1, 3 or 5")
+		}
+	}
+	if s := x.Storm; s != nil && (len(s.What) == 0 || s.From >= s.Until || s.Until > x.Length) {
+		fault("storm", "needs kinds of faults (what), and from before until within the day")
+	}
 	names := map[string]bool{}
 	unique := func(key, name string) {
 		if name == "" || strings.ContainsAny(name, "/ ,?%") {
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -31,6 +31,15 @@
 
 // among draws dispatchers: a count, or a share if none is given.
 func (w *World) among(f *Fault) []*dispatcher {
+	if len(f.Hits) > 0 {
+		var all []*dispatcher
+		for _, d := range f.Hits {
+			if d >= 0 && d < len(w.dispatchers) {
+				all = append(all, w.dispatchers[d])
+			}
+		}
+		return all
+	}
 	n := f.Count
 	if n == 0 {
 		n = int(math.Ceil(f.Share * float64(len(w.dispatchers))))
@@ -204,6 +213,23 @@
 				}
 			})
 		}
+	case "dispatcher_freeze":
+		for _, d := range w.among(f) {
+			w.freeze(d, span)
+		}
+	case "link_cut", "link_oneway", "link_late", "link_held", "link_reset", "link_trickle", "link_half", "folder_full", "folder_gone",
+		"folder_empty", "folder_older", "folder_flipped", "publish", "publish_twice":
+		var hit []int
+		for _, d := range w.among(f) {
+			hit = append(hit, d.n)
+		}
+		w.port.Trouble(f, hit, true)
+		until(func() { w.port.Trouble(f, hit, false) })
+		if f.What == "folder_empty" || f.What == "folder_older" || f.What == "folder_flipped" { // found so at the next start
+			for _, d := range hit {
+				w.killDispatcher(w.dispatchers[d], true)
+			}
+		}
 	case "clients_flood":
 		for _, d := range w.among(f) {
 			w.port.Flood(d.n, amount(200), max(span, 1000))
@@ -222,7 +248,7 @@
 		w.mark("%s", f.What)
 	}
 	switch f.What {
-	case "deploy", "dispatcher_stop", "dispatcher_kill", "dispatcher_reload", "dispatcher_upgrade", "clock_jump":
+	case "publish", "publish_twice", "deploy", "dispatcher_stop", "dispatcher_kill", "dispatcher_reload", "dispatcher_upgrade", "clock_jump":
 	default:
 		if span > 0 {
 			w.After(span, func() { w.mark("%s ends", f.What) })
--- a/internal/world/world.go
+++ b/internal/world/world.go
@@ -40,6 +40,10 @@
 	// Upgrade has a newer process take its place. Flood opens connections that never say a whole request, so many a second.
 	Upgrade(d int)
 	Flood(d int, rate, span float64)
+	// Freeze has its process stand still, or go on.
+	Freeze(d int, on bool)
+	// Trouble is one of the fleet's links, folders or operators, of those hit; it ends when it is called once more, off.
+	Trouble(f *Fault, hit []int, on bool)
 }
 
 // End is how a hand-off's connection ends.
@@ -163,6 +167,8 @@
 	open     map[string]*Try // of clients that wait, and
 	order    []string        // their ids by arrival
 	talked   []float64       // with each worker, last
+	frozen   bool            // its process stands still
+	thawed   float64         // when it last went on
 }
 
 // New makes a world at time 0. The driver calls Begin next.
