--- a/cmd/weldlab/storm.go
+++ b/cmd/weldlab/storm.go
@@ -5,8 +5,12 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
+	"slices"
+	"sync"
 
 	"weldmast/internal/lab"
+	"weldmast/internal/virtual"
 )
 
 type stormCommand struct {
@@ -31,10 +35,20 @@
 	}
 	o := c.options()
 	o.Voter = c.Voter
-	broken, void, err := lab.Storms(ctx, x, c.Seed, c.Count, c.Side, o, s.out)
+	all, err := lab.Storms(ctx, x, c.Seed, c.Count, c.Side, o, s.out)
 	if err != nil {
 		return err
 	}
+	var broken []lab.Stormed
+	void, late := 0, 0
+	for _, b := range all {
+		late += b.Late
+		if len(b.Verdicts) > 0 {
+			broken = append(broken, b)
+		} else if b.Void != "" {
+			void++
+		}
+	}
 	for _, b := range broken {
 		for k, v := range b.Verdicts {
 			if k == 10 {
@@ -53,9 +67,89 @@
 			fmt.Fprintf(s.out, "at %.0f ms for %.0f ms: %s of %v, amount %g\n", float64(f.At), float64(f.For), f.What, f.Hits, f.Amount)
 		}
 	}
-	fmt.Fprintf(s.out, "void %d\nstorms %d, broken %d\n", len(void), c.Count, len(broken))
+	if x.Fleet != nil {
+		found, up := lab.StallFigures(all, float64(x.Fleet.Beat))
+		fmt.Fprintf(s.out, "stalls: found %s; current again after going on %s; late acts %d\n", quantiles(found), quantiles(up), late)
+	}
+	fmt.Fprintf(s.out, "void %d\nstorms %d, broken %d\n", void, c.Count, len(broken))
 	if len(broken) > 0 {
 		return errBroken
 	}
 	return nil
 }
+
+// quantiles says how many there are, their median, 99% and most.
+func quantiles(sorted []float64) string {
+	n := len(sorted)
+	if n == 0 {
+		return "0"
+	}
+	return fmt.Sprintf("%d (ms: median %.0f, 99%% %.0f, most %.0f)", n, sorted[n/2], sorted[n*99/100], sorted[n-1])
+}
+
+type fleetTableCommand struct {
+	Members []int   `default:"10,100,300,1000" help:"How many members, a line each."`
+	Loss    float64 `default:"0.1" help:"Share of messages that are lost, one way."`
+	Cut     float64 `default:"0.1" help:"Share of members cut off for 3 s in every second publish."`
+	Seconds float64 `default:"30" help:"Length of the day."`
+	Seeds   int     `default:"0" help:"In place of the table: so many small days of 7 members with drawn faults, each judged."`
+	First   uint64  `default:"1" help:"The first number."`
+}
+
+func (c *fleetTableCommand) Run(ctx context.Context, s *streams) error {
+	if c.Seeds > 0 {
+		return c.small(ctx, s)
+	}
+	fmt.Fprintln(s.out, "members  versions  to 99% ms (median)  to all ms (median)  at the leader, messages/s  a member, bytes/s")
+	for _, n := range c.Members {
+		r := virtual.PlayFleet(virtual.FleetDay{Members: n, Voters: 5, Seed: c.First, Loss: c.Loss, Cut: c.Cut, Length: c.Seconds * 1000})
+		if r.Broken != "" {
+			return fmt.Errorf("%d members: %s", n, r.Broken)
+		}
+		slices.Sort(r.To99)
+		slices.Sort(r.ToAll)
+		fmt.Fprintf(s.out, "%7d  %8d  %18.0f  %18.0f  %25.0f  %17.0f\n", n, r.Published, middle(r.To99), middle(r.ToAll), r.Leader, r.Bytes)
+	}
+	return nil
+}
+
+func middle(sorted []float64) float64 {
+	if len(sorted) == 0 {
+		return -1
+	}
+	return sorted[len(sorted)/2]
+}
+
+func (c *fleetTableCommand) small(ctx context.Context, s *streams) error {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	broken, published, fences := 0, 0, 0
+	seeds := make(chan uint64)
+	for range runtime.GOMAXPROCS(0) {
+		wait.Go(func() {
+			for seed := range seeds {
+				r := virtual.PlayFleet(virtual.FleetDay{Members: 7, Voters: []int{1, 3, 5}[seed%3], Seed: seed, Loss: c.Loss, Cut: 0.3, Faults: 8, Length: c.Seconds * 1000})
+				mu.Lock()
+				published += r.Published
+				fences += r.Fences
+				if r.Broken != "" {
+					broken++
+					fmt.Fprintf(s.out, "seed %d: %s\n", seed, r.Broken)
+				}
+				mu.Unlock()
+			}
+		})
+	}
+	for k := range c.Seeds {
+		if ctx.Err() == nil {
+			seeds <- c.First + uint64(k)
+		}
+	}
+	close(seeds)
+	wait.Wait()
+	fmt.Fprintf(s.out, "fleets %d, versions %d, fences complete %d, broken %d\n", c.Seeds, published, fences, broken)
+	if broken > 0 {
+		return errBroken
+	}
+	return nil
+}
--- a/internal/lab/storm.go
+++ b/internal/lab/storm.go
@@ -81,9 +81,28 @@
 	Stalled  int // work items that only a standstill kept from their answer
 	Verdicts []audit.Verdict
 	Void     string
+	Stalls   []sockets.Stall
 	played   *world.Experiment
 }
 
+// StallFigures are of stalls of more than two beats: how many, how long until one was found and, from its going on, until
+// its process was current again. Sorted.
+func StallFigures(all []Stormed, beat float64) (found, up []float64) {
+	for _, s := range all {
+		for _, x := range s.Stalls {
+			if x.To-x.From > 2*beat+100 && x.Found > 0 {
+				found = append(found, x.Found-x.From)
+			}
+			if x.To > 0 && x.Up > 0 {
+				up = append(up, x.Up-x.To)
+			}
+		}
+	}
+	slices.Sort(found)
+	slices.Sort(up)
+	return found, up
+}
+
 // Storm plays one number on sockets.
 func Storm(ctx context.Context, x *world.Experiment, seed uint64, o sockets.Options) (Stormed, error) {
 	y := Drawn(x, seed)
@@ -97,7 +116,7 @@
 	if err != nil {
 		return Stormed{Seed: seed}, err
 	}
-	s := Stormed{Seed: seed, Faults: len(y.Faults), Jobs: len(p.World.Jobs), Answers: p.World.Audit.Answers, Stalled: p.World.Audit.Stalled, Void: p.Void, played: y}
+	s := Stormed{Seed: seed, Faults: len(y.Faults), Jobs: len(p.World.Jobs), Answers: p.World.Audit.Answers, Stalled: p.World.Audit.Stalled, Void: p.Void, Stalls: p.Stalls, played: y}
 	s.Verdicts = append(s.Verdicts, p.World.Audit.Verdicts...)
 	if f := p.Fleet; f != nil {
 		s.Verdicts = append(s.Verdicts, f.Verdicts...)
@@ -122,9 +141,9 @@
 	return head + ": kept"
 }
 
-// Storms plays so many, some side by side, and prints a line for each. Broken are those with a verdict; a void one, on which
-// the lab itself was late, is played once more.
-func Storms(ctx context.Context, x *world.Experiment, first uint64, count, side int, o sockets.Options, out io.Writer) (broken, void []Stormed, err error) {
+// Storms plays so many, some side by side, and prints a line for each. One on which the lab itself was late is void and
+// played once more.
+func Storms(ctx context.Context, x *world.Experiment, first uint64, count, side int, o sockets.Options, out io.Writer) (all []Stormed, err error) {
 	var mu sync.Mutex
 	var wait sync.WaitGroup
 	seeds := make(chan uint64)
@@ -142,11 +161,7 @@
 				default:
 					fmt.Fprintln(out, s.Line())
 				}
-				if len(s.Verdicts) > 0 {
-					broken = append(broken, s)
-				} else if s.Void != "" {
-					void = append(void, s)
-				}
+				all = append(all, s)
 				mu.Unlock()
 			}
 		})
@@ -158,7 +173,7 @@
 	}
 	close(seeds)
 	wait.Wait()
-	return broken, void, err
+	return all, err
 }
 
 // Cut leaves out one fault after another for as long as the day still breaks without it. On sockets a day does not repeat
--- a/internal/lab/storm_test.go
+++ b/internal/lab/storm_test.go
@@ -1,7 +1,6 @@
 package lab
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"os"
@@ -57,8 +56,7 @@
 	if out, err := cmd.CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	// CI's machine is busy with other tests: the lab's own lateness does not void these days, as none is measured.
-	return sockets.Options{Program: filepath.Join(dir, "weldmast"), Voter: filepath.Join(dir, "weldmast-voter"), LateP99: 1e6, LateMost: 1e6}
+	return sockets.Options{Program: filepath.Join(dir, "weldmast"), Voter: filepath.Join(dir, "weldmast-voter"), LateP99: 10, LateMost: 200}
 }
 
 // short is the day of lab/fleet-audit.toml in small: three voters and two followers, twelve seconds.
@@ -75,17 +73,28 @@
 // TestStorms plays fixed numbers with real processes: none may be broken.
 func TestStorms(t *testing.T) {
 	o := built(t, nil)
-	var out bytes.Buffer
-	broken, _, err := Storms(context.Background(), short(t), 1, 6, 3, o, &out)
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Log("\n" + out.String())
-	for _, s := range broken {
-		for _, v := range s.Verdicts {
-			t.Errorf("seed %d: %s", s.Seed, v)
+	x, judged := short(t), 0
+	for seed := range uint64(6) {
+		// A day on which this machine kept the lab itself waiting shows nothing of the fleet: it is played again.
+		for range 3 {
+			s, err := Storm(context.Background(), x, seed, o)
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Log(s.Line())
+			if s.Void != "" {
+				continue
+			}
+			judged++
+			for _, v := range s.Verdicts {
+				t.Errorf("seed %d: %s", s.Seed, v)
+			}
+			break
 		}
 	}
+	if judged == 0 {
+		t.Error("no day was judged: this machine is too busy")
+	}
 }
 
 // TestWrongFleets plays fleets that are wrong in one place each: the judge has to convict them.
@@ -99,7 +108,7 @@
 		rules        []audit.Rule
 	}{
 		{"a lease counted from receipt", "internal/member/member.go", "m.self.Renewed(sent, a.Renewal)", "sent = m.o.Clock.Now() + m.o.Figures.Lease/2\n\t\tm.self.Renewed(sent, a.Renewal)",
-			[]string{`storm.what=["publish", "publish", "link_cut", "link_cut", "link_oneway"]`, `storm.span="4s"`, `storm.faults=20`}, 1, 20, []audit.Rule{audit.Fenced}},
+			[]string{`storm.what=["publish", "publish", "link_cut", "link_cut", "link_oneway"]`, `storm.span="4s"`, `storm.faults=20`}, 12, 20, []audit.Rule{audit.Fenced}},
 		{"a promise forgotten at a restart", "internal/council/store.go", "\treturn d.db.Update(func(tx *bbolt.Tx) error {\n\t\tp, j := tx.Bucket(promise), tx.Bucket(journal)",
 			"\tif len(entries) > 0 && snapshot == nil {\n\t\treturn nil\n\t}\n\treturn d.db.Update(func(tx *bbolt.Tx) error {\n\t\tp, j := tx.Bucket(promise), tx.Bucket(journal)",
 			[]string{`storm.what=["publish", "publish", "dispatcher_kill", "dispatcher_kill"]`, `storm.most=5`}, 1, 20, []audit.Rule{audit.Ordered, audit.Healed}},
@@ -112,6 +121,7 @@
 			[]string{`storm.what=["publish", "publish", "folder_empty", "folder_empty"]`}, 1, 20, []audit.Rule{audit.Healed}},
 	} {
 		t.Run(w.name, func(t *testing.T) {
+			t.Parallel()
 			o := built(t, func(read func(string) string) map[string]string {
 				return map[string]string{w.path: strings.Replace(read(w.path), w.from, w.to, 1)}
 			})
--- a/internal/sockets/fleet.go
+++ b/internal/sockets/fleet.go
@@ -25,7 +25,7 @@
 const (
 	fleetName    = "lab"
 	membersAt    = "127.0.3.1:0"
-	lookEvery    = 200 * time.Millisecond // the operator asks how the fleet stands
+	lookEvery    = 25 * time.Millisecond // the operator asks how the fleet stands
 	lookWithin   = 1500 * time.Millisecond
 	askWithin    = 4 * time.Second
 	publishTries = 3
@@ -43,9 +43,10 @@
 	manners map[*world.Fault]func()
 	asked   int
 
-	mu   sync.Mutex
-	j    audit.Fleet
-	open map[string]bool // requests that were published and have no answer
+	mu     sync.Mutex
+	stalls []Stall
+	j      audit.Fleet
+	open   map[string]bool // requests that were published and have no answer
 }
 
 func (r *rig) newFleet(seed uint64) error {
@@ -96,6 +97,50 @@
 	return nil
 }
 
+// Stall is a process that stood still, as an operator saw it. Times are the lab's, 0 where it did not come to that.
+type Stall struct {
+	Dispatcher int
+	From, To   float64
+	Found      float64 // told to be no longer in order
+	Up         float64 // told to be current again, after it went on
+	Ended      bool    // killed meanwhile
+}
+
+// froze notes that a process stands still, or goes on.
+func (f *fleetRig) froze(d int, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if on {
+		f.stalls = append(f.stalls, Stall{Dispatcher: d, From: f.r.now()})
+		return
+	}
+	for k := len(f.stalls) - 1; k >= 0; k-- {
+		if f.stalls[k].Dispatcher == d {
+			f.stalls[k].To = f.r.now()
+			return
+		}
+	}
+}
+
+// stands holds what an operator was told of members against the stalls that are open. The lock is held.
+func (f *fleetRig) stands(call audit.Call, members []fleet.Status) {
+	for k := range f.stalls {
+		s := &f.stalls[k]
+		if s.Up > 0 || s.Ended {
+			continue
+		}
+		for _, m := range members {
+			switch {
+			case m.Member != f.name(s.Dispatcher):
+			case s.Found == 0 && s.To == 0 && call.From > s.From && m.Standing != fleet.Current && m.Standing != fleet.Behind:
+				s.Found = call.To
+			case s.To > 0 && call.From > s.To && m.Standing == fleet.Current && m.Heard < call.To-s.To:
+				s.Up = call.To
+			}
+		}
+	}
+}
+
 func (f *fleetRig) name(d int) string   { return "n" + strconv.Itoa(d) }
 func (f *fleetRig) file(d int) string   { return filepath.Join(f.r.dir, fmt.Sprintf("fleet%d.toml", d)) }
 func (f *fleetRig) folder(d int) string { return filepath.Join(f.r.dir, f.name(d)) }
@@ -290,6 +335,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.j.Calls = append(f.j.Calls, call)
+	f.stands(call, a.Status.Members)
 	if st := a.Status; st.Fence > 0 {
 		if _, told := f.j.Complete[st.Fenced]; !told {
 			f.j.Complete[st.Fenced] = call.To
@@ -300,8 +346,10 @@
 
 // look is an operator who watches, by one member after another.
 func (f *fleetRig) look() {
-	for at := 0; f.wait(lookEvery); at = (at + 1) % len(f.addrs) {
-		f.status(at, false)
+	for at := 0; f.wait(lookEvery); {
+		if _, ok := f.status(at, false); !ok { // the next one, until one answers
+			at = (at + 1) % len(f.addrs)
+		}
 	}
 }
 
--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -65,13 +65,14 @@
 
 // Played is a day.
 type Played struct {
-	World *world.World
-	Start float64 // when clients came, on the world's clock
-	Whole bool    // it was not ended before its time
-	Usage []Usage
-	Fleet *audit.Fleet            // judged; nil: the dispatchers are of none
-	Late  *hdrhistogram.Histogram // microseconds
-	Void  string                  // why the lab spoilt the day; empty: it did not
+	World  *world.World
+	Start  float64 // when clients came, on the world's clock
+	Whole  bool    // it was not ended before its time
+	Usage  []Usage
+	Stalls []Stall
+	Fleet  *audit.Fleet            // judged; nil: the dispatchers are of none
+	Late   *hdrhistogram.Histogram // microseconds
+	Void   string                  // why the lab spoilt the day; empty: it did not
 }
 
 const (
@@ -187,6 +188,7 @@
 		r.w.Audit.Finish(r.w.Now())
 		if r.fleet != nil {
 			p.Fleet = r.fleet.judge()
+			p.Stalls = r.fleet.stalls
 		}
 	}
 	for _, h := range r.hosts {
@@ -584,6 +586,9 @@
 
 // Freeze stops a process or has it go on.
 func (r *rig) Freeze(d int, on bool) {
+	if r.fleet != nil {
+		r.fleet.froze(d, on)
+	}
 	if on {
 		r.signal(d, syscall.SIGSTOP)
 	} else {
--- /dev/null
+++ b/internal/virtual/fleet.go
@@ -0,0 +1,514 @@
+// This file plays a fleet in virtual time: its council with all its voters, and members by hundreds, over links that lose
+// and delay and are cut. What members do is internal/fleet's; only when they beat and ask is modelled, as internal/member does it.
+
+package virtual
+
+import (
+	"container/heap"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	pb "go.etcd.io/raft/v3/raftpb"
+
+	"weldmast/internal/council"
+	"weldmast/internal/fleet"
+)
+
+// FleetDay is what is played.
+type FleetDay struct {
+	Members int // followers among them
+	Voters  int
+	Seed    uint64
+	Loss    float64 // of each message, one way
+	Cut     float64 // share of members cut off for three seconds in the midst of a publish
+	Faults  int     // kills, cuts and standstills of single members, drawn
+	Length  float64
+}
+
+// FleetResult is what came of it. Times are milliseconds, bytes those of the messages' content.
+type FleetResult struct {
+	Published int
+	To99      []float64 // from a publish's answer until 99% of the members that are not cut off have it in force
+	ToAll     []float64 // the same for all, cut off or not
+	Leader    float64   // messages a second at the leader, in and out
+	Bytes     float64   // a member a second
+	Fences    int       // told to be complete
+	Broken    string
+}
+
+const (
+	fleetLink  = 0.5 // ms, one way; twice that at most
+	fleetApply = 2   // ms until the reducer has a version in force
+	fleetPoll  = 2000
+)
+
+type fleetEvent struct {
+	at  float64
+	seq int
+	do  func()
+}
+
+type fleetQueue []fleetEvent
+
+func (q fleetQueue) Len() int { return len(q) }
+func (q fleetQueue) Less(a, b int) bool {
+	return q[a].at < q[b].at || q[a].at == q[b].at && q[a].seq < q[b].seq
+}
+func (q fleetQueue) Swap(a, b int) { q[a], q[b] = q[b], q[a] }
+func (q *fleetQueue) Push(x any)   { *q = append(*q, x.(fleetEvent)) }
+func (q *fleetQueue) Pop() any     { x := (*q)[len(*q)-1]; *q = (*q)[:len(*q)-1]; return x }
+
+// kept is a voter's store.
+type kept struct{ k council.Kept }
+
+func (s *kept) Save(hard *pb.HardState, entries []*pb.Entry, snapshot *pb.Snapshot) error {
+	if snapshot.GetMetadata().GetIndex() > 0 {
+		s.k.Snapshot, s.k.Entries = snapshot, nil
+	}
+	if hard != nil {
+		s.k.Hard = hard
+	}
+	if len(entries) > 0 {
+		s.k.Entries = append(slices.DeleteFunc(s.k.Entries, func(e *pb.Entry) bool { return e.GetIndex() >= entries[0].GetIndex() }), entries...)
+	}
+	return nil
+}
+
+func (s *kept) Compact(snapshot *pb.Snapshot, _ uint64) error {
+	s.k.Snapshot = snapshot
+	s.k.Entries = slices.DeleteFunc(s.k.Entries, func(e *pb.Entry) bool { return e.GetIndex() <= snapshot.GetMetadata().GetIndex() })
+	return nil
+}
+
+// waiter is a long poll at a voter.
+type waiter struct {
+	m, run int
+	call   int
+}
+
+type fleetMember struct {
+	self   *fleet.Self
+	run    fleet.Run
+	runs   int
+	up     bool
+	still  float64 // it stands still until then
+	cut    bool
+	call   int // of its poll
+	bytes  float64
+	leader int
+}
+
+// spread is a version on its way to all.
+type spread struct {
+	at   float64
+	most bool // 99% have it
+}
+
+type fleetPlay struct {
+	d       FleetDay
+	f       fleet.Figures
+	now     float64
+	rnd     *rand.Rand
+	queue   fleetQueue
+	seq     int
+	cores   []*council.Core
+	stores  []*kept
+	seats   map[uint64]int
+	members []*fleetMember
+	load    float64
+	r       FleetResult
+	told    map[uint64]float64 // fences, by version
+	pending map[uint64]*spread // publishes that are on their way, by version
+}
+
+// PlayFleet plays a day.
+func PlayFleet(d FleetDay) FleetResult {
+	p := &fleetPlay{d: d, f: fleet.Figures{Beat: 250, Lease: 1000, Drift: 0.01}, rnd: rand.New(rand.NewPCG(d.Seed, 0x666c6474)), seats: map[uint64]int{},
+		told: map[uint64]float64{}, pending: map[uint64]*spread{}}
+	var voters []fleet.Voter
+	for k := range d.Voters {
+		name := fmt.Sprintf("m%04d", k)
+		voters = append(voters, fleet.Voter{Name: name, Address: name, Seat: council.FirstSeat("lab", name)})
+		p.seats[voters[k].Seat] = k
+	}
+	for range d.Voters {
+		p.stores = append(p.stores, &kept{council.First("lab", voters)})
+		p.cores = append(p.cores, nil)
+	}
+	for k := range d.Voters {
+		p.voter(k)
+	}
+	for k := range d.Members {
+		p.members = append(p.members, &fleetMember{leader: -1})
+		p.at(p.rnd.Float64()*p.f.Beat, func() { p.begin(k) })
+	}
+	p.at(1, p.tick)
+	for n := 0; 4000+3000*float64(n) < d.Length-6000; n++ {
+		at := 4000 + 3000*float64(n)
+		p.at(at, func() { p.publish(n, 0) })
+		if d.Cut > 0 && n%2 == 1 {
+			p.at(at-5, func() { p.cut(true) })
+			p.at(at+3000, func() { p.cut(false) })
+		}
+	}
+	for range d.Faults {
+		k, at, span := p.rnd.IntN(d.Members), 3000+p.rnd.Float64()*max(d.Length-9000, 0), 100+p.rnd.Float64()*2500
+		switch p.rnd.IntN(4) {
+		case 0:
+			p.at(at, func() { p.kill(k) })
+			p.at(at+span, func() { p.begin(k) })
+		case 1:
+			p.at(at, func() { p.members[k].cut = true })
+			p.at(at+span, func() { p.members[k].cut = false })
+		case 2:
+			p.at(at, func() { p.members[k].still = p.now + span })
+		case 3:
+			v := p.rnd.IntN(d.Voters)
+			p.at(at, func() { p.cores[v] = nil })
+			p.at(at+span, func() { p.voter(v) })
+		}
+	}
+	for len(p.queue) > 0 && p.now < d.Length && p.r.Broken == "" {
+		e := heap.Pop(&p.queue).(fleetEvent)
+		p.now = e.at
+		e.do()
+	}
+	if p.r.Broken == "" {
+		p.end()
+	}
+	return p.r
+}
+
+func (p *fleetPlay) at(when float64, do func()) {
+	p.seq++
+	heap.Push(&p.queue, fleetEvent{max(when, p.now), p.seq, do})
+}
+
+func (p *fleetPlay) voter(k int) {
+	c, err := council.NewCore(p.f, council.FirstSeat("lab", fmt.Sprintf("m%04d", k)), p.stores[k].k, p.stores[k], p.rnd.Uint64(), p.now)
+	if err != nil {
+		p.broken("voter %d: %v", k, err)
+		return
+	}
+	p.cores[k] = c
+}
+
+func (p *fleetPlay) broken(format string, a ...any) {
+	if p.r.Broken == "" {
+		p.r.Broken = fmt.Sprintf("at %.0f ms: ", p.now) + fmt.Sprintf(format, a...)
+	}
+}
+
+func (p *fleetPlay) begin(k int) {
+	m := p.members[k]
+	if m.up {
+		return
+	}
+	state := fleet.NewState("lab")
+	if m.self != nil { // its folder
+		state = m.self.State()
+	}
+	m.runs++
+	m.up, m.run = true, fleet.Run{ID: fmt.Sprint(k, "-", m.runs), Began: p.now}
+	m.run.Since(p.now, 0)
+	m.self = fleet.NewSelf(p.f, fmt.Sprintf("m%04d", k), "1.0.0", fleet.Stop, state, p.now)
+	p.bring(k)
+	p.beat(k, m.runs, true)
+	p.poll(k, m.runs)
+}
+
+func (p *fleetPlay) kill(k int) { p.members[k].up = false }
+
+func (p *fleetPlay) cut(on bool) {
+	for k := range int(p.d.Cut * float64(p.d.Members)) {
+		p.members[p.d.Members-1-k].cut = on
+	}
+}
+
+// carry brings a message between a member and a voter, either way, with its bytes on the member's account.
+func (p *fleetPlay) carry(k int, size int, do func()) {
+	m := p.members[k]
+	m.bytes += float64(size)
+	if m.cut || p.rnd.Float64() < p.d.Loss {
+		return
+	}
+	p.at(p.now+fleetLink*(1+p.rnd.Float64()), func() {
+		if !m.cut {
+			do()
+		}
+	})
+}
+
+// lives tells whether a process of a member is there to act; one that stands still does it when it goes on.
+func (p *fleetPlay) lives(k, run int, do func()) {
+	m := p.members[k]
+	if !m.up || m.runs != run {
+		return
+	}
+	if p.now < m.still {
+		p.at(m.still, func() { p.lives(k, run, do) })
+		return
+	}
+	do()
+}
+
+// beat tells the council once; further ones follow, unless it is one between others.
+func (p *fleetPlay) beat(k, run int, further bool) {
+	p.lives(k, run, func() {
+		m := p.members[k]
+		if further {
+			p.at(p.now+p.f.Beat, func() { p.beat(k, run, true) })
+		}
+		s := m.self.State()
+		m.run.Saved = p.now
+		b := fleet.Beat{Fleet: "lab", Format: fleet.Format, Member: fmt.Sprintf("m%04d", k), Address: fmt.Sprint("a", k), Run: m.run.ID, Bound: true, Alone: fleet.Stop,
+			Program: "1.0.0", N: s.N(), Digest: s.Digest(), InForce: m.self.InForce(), Lease: p.f.Lease, Drift: p.f.Drift, Runs: []fleet.Run{m.run.Clone()}}
+		v := m.leader
+		if v < 0 {
+			v = p.rnd.IntN(p.d.Voters)
+		}
+		m.leader = -1 // until it answers
+		sent := p.now
+		p.carry(k, len(fleet.Encode(b)), func() {
+			c := p.cores[v]
+			if c == nil {
+				return
+			}
+			p.count(v)
+			c.Beat(p.now, b, func(r fleet.Renewal, err error) {
+				p.count(v)
+				if err != nil { // it says who leads
+					lead := p.lead(v)
+					p.carry(k, 64, func() { p.lives(k, run, func() { m.leader = lead }) })
+					return
+				}
+				p.carry(k, len(fleet.Encode(r)), func() {
+					p.lives(k, run, func() {
+						m.leader = v
+						m.self.Renewed(sent, r)
+						if r.Newest > m.self.State().Newest() { // the poll that is under way may hang
+							p.poll(k, run)
+						}
+						if r.Again > 0 {
+							p.at(p.now+r.Again, func() { p.beat(k, run, false) })
+						}
+					})
+				})
+			})
+		})
+	})
+}
+
+func (p *fleetPlay) lead(v int) int {
+	if c := p.cores[v]; c != nil {
+		if k, ok := p.seats[c.Lead()]; ok {
+			return k
+		}
+	}
+	return -1
+}
+
+// count counts a message at a voter that leads.
+func (p *fleetPlay) count(v int) {
+	if c := p.cores[v]; c != nil && c.Book() != nil {
+		p.load++
+	}
+}
+
+func (p *fleetPlay) poll(k, run int) {
+	p.lives(k, run, func() {
+		m := p.members[k]
+		m.call++
+		m.call++
+		call, v := m.call, p.rnd.IntN(p.d.Voters)
+		p.at(p.now+fleetPoll+1000, func() { // no answer: another voter, after a drawn pause
+			if m.call == call {
+				p.at(p.now+300*p.rnd.Float64(), func() { p.poll(k, run) })
+			}
+		})
+		n, digest := m.self.State().N(), m.self.State().Digest()
+		p.carry(k, 96, func() {
+			p.count(v)
+			p.serve(v, waiter{k, run, call}, n, digest, p.now+fleetPoll)
+		})
+	})
+}
+
+// serve answers a poll once there is something, or once it has waited long enough.
+func (p *fleetPlay) serve(v int, w waiter, n uint64, digest fleet.Digest, until float64) {
+	var look func()
+	look = func() {
+		c := p.cores[v]
+		if c == nil {
+			return
+		}
+		entries, snapshot, fork := c.Entries(n, digest)
+		if fork {
+			p.broken("two histories: member %d at %d", w.m, n)
+			return
+		}
+		if len(entries) == 0 && snapshot == nil && p.now < until {
+			p.at(p.now+2, look)
+			return
+		}
+		p.count(v)
+		p.carry(w.m, len(fleet.Encode(entries))+len(snapshot)+32, func() {
+			p.lives(w.m, w.run, func() {
+				m := p.members[w.m]
+				if m.call != w.call {
+					return
+				}
+				if snapshot != nil {
+					s, err := fleet.Restore(snapshot)
+					if err == nil {
+						err = m.self.Replace(s)
+					}
+					if err != nil {
+						p.broken("member %d: %v", w.m, err)
+					}
+				} else if err := m.self.Follow(entries); err != nil {
+					p.broken("member %d: %v", w.m, err)
+				}
+				p.bring(w.m)
+				p.poll(w.m, w.run)
+			})
+		})
+	}
+	look()
+}
+
+func (p *fleetPlay) bring(k int) {
+	m := p.members[k]
+	run := m.runs
+	if v, ok := m.self.Next(); ok {
+		p.at(p.now+fleetApply, func() {
+			p.lives(k, run, func() {
+				m.self.Applied(v.Number)
+				m.run.Since(p.now, v.Number)
+				p.bring(k)
+			})
+		})
+	}
+}
+
+// publish asks the leader, again and again until it answers.
+func (p *fleetPlay) publish(n, tries int) {
+	request := fmt.Sprint("r", n)
+	if tries > 200 {
+		p.broken("%s is never answered", request)
+		return
+	}
+	answered := false
+	for _, c := range p.cores {
+		if c != nil && c.Book() != nil {
+			c.Propose(p.now, fleet.Command{Kind: fleet.Published, Request: request, Text: []byte(`{"mark":"` + request + `"}`), Fence: n%2 == 1}, func(r fleet.Result, err error) {
+				if err == nil && !answered {
+					answered = true
+					p.r.Published++
+					p.pending[r.Version] = &spread{at: p.now}
+				}
+			})
+			break
+		}
+	}
+	p.at(p.now+100, func() {
+		if !answered {
+			p.publish(n, tries+1)
+		}
+	})
+}
+
+// tick has voters step, messages between them carried, fences told and acts judged, each millisecond.
+func (p *fleetPlay) tick() {
+	for v, c := range p.cores {
+		if c == nil {
+			continue
+		}
+		c.Step(p.now)
+		for _, m := range c.Take(p.now) {
+			to := p.seats[m.To]
+			if c.Book() != nil {
+				p.load++
+			}
+			if p.rnd.Float64() < p.d.Loss {
+				continue
+			}
+			p.at(p.now+fleetLink*(1+p.rnd.Float64()), func() {
+				if c := p.cores[to]; c != nil {
+					p.count(to)
+					c.Receive(p.now, m.Data)
+				}
+				if m.Snap && p.cores[v] != nil {
+					p.cores[v].SnapshotSent(p.now, m.To, true)
+				}
+			})
+		}
+		if b := c.Book(); b != nil && int(p.now)%10 == 0 {
+			if f := c.State().Fenced(); f > 0 && p.told[f] == 0 {
+				if at, _ := b.Fence(p.now, p.now, f, c.State()); at > 0 {
+					p.told[f] = p.now
+					p.r.Fences++
+				}
+			}
+		}
+	}
+	if int(p.now)%5 == 0 {
+		p.look()
+	}
+	p.at(p.now+1, p.tick)
+}
+
+// look judges what members could do now, and how far versions have spread.
+func (p *fleetPlay) look() {
+	fence := uint64(0)
+	for v := range p.told {
+		fence = max(fence, v)
+	}
+	for k, m := range p.members {
+		if m.up && p.now >= m.still && m.self.InForce() < fence && m.self.OpenUntil(p.now) > p.now {
+			p.broken("member %d acts on version %d, the fence of %d was told at %.0f", k, m.self.InForce(), fence, p.told[fence])
+		}
+	}
+	for _, v := range slices.Sorted(maps.Keys(p.pending)) {
+		x := p.pending[v]
+		have, reach, all := 0, 0, 0
+		for _, m := range p.members {
+			if m.up && m.self.InForce() >= v {
+				all++
+			}
+			if m.up && !m.cut && p.now >= m.still {
+				if reach++; m.self.InForce() >= v {
+					have++
+				}
+			}
+		}
+		if have*100 >= reach*99 && !x.most {
+			x.most = true
+			p.r.To99 = append(p.r.To99, p.now-x.at)
+		}
+		if all == len(p.members) {
+			p.r.ToAll = append(p.r.ToAll, p.now-x.at)
+			delete(p.pending, v)
+		}
+	}
+}
+
+func (p *fleetPlay) end() {
+	bytes := 0.
+	for _, m := range p.members {
+		bytes += m.bytes
+	}
+	p.r.Leader = p.load / p.d.Length * 1000
+	p.r.Bytes = bytes / float64(len(p.members)) / p.d.Length * 1000
+	if len(p.pending) > 0 {
+		lacks := ""
+		for k, m := range p.members {
+			if !m.up || m.self.InForce() < slices.Max(slices.Collect(maps.Keys(p.pending))) {
+				lacks += fmt.Sprintf(" member %d (runs: %v, version %d of %d known)", k, m.up, m.self.InForce(), m.self.State().Newest())
+			}
+		}
+		p.broken("%d versions never came into force at all members: %s", len(p.pending), lacks)
+	}
+}
--- /dev/null
+++ b/internal/virtual/fleet_test.go
@@ -0,0 +1,28 @@
+package virtual
+
+import "testing"
+
+// TestFleet plays small fleets with faults: no two histories, nobody acting behind a fence that was told.
+func TestFleet(t *testing.T) {
+	published, fences := 0, 0
+	for seed := range uint64(40) {
+		r := PlayFleet(FleetDay{Members: 7, Voters: []int{1, 3, 5}[seed%3], Seed: seed, Loss: 0.1, Cut: 0.3, Faults: 8, Length: 30000})
+		if r.Broken != "" {
+			t.Errorf("seed %d: %s", seed, r.Broken)
+		}
+		published += r.Published
+		fences += r.Fences
+	}
+	if published < 200 || fences < 80 {
+		t.Errorf("%d versions and %d fences in 40 days: they show little", published, fences)
+	}
+}
+
+// TestFleetRepeats: the same seed is the same day, elections included.
+func TestFleetRepeats(t *testing.T) {
+	d := FleetDay{Members: 20, Voters: 5, Seed: 3, Loss: 0.1, Cut: 0.2, Faults: 10, Length: 20000}
+	a, b := PlayFleet(d), PlayFleet(d)
+	if a.Leader != b.Leader || a.Bytes != b.Bytes || len(a.ToAll) != len(b.ToAll) {
+		t.Errorf("%+v\n%+v", a, b)
+	}
+}
