--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -1013,6 +1013,40 @@
 	w.check("w1: a\n" + moved + "w2: mute\nclient: 200 from w2\nbusy: 200 a\nexit: <nil>")
 }
 
+// TestReloadSettings: SIGHUP changes what can change in flight, and says what waits for a restart.
+func TestReloadSettings(t *testing.T) {
+	w := newWorld(t)
+	w.tell(list(50, true, line("w1", w.worker("w1", nil), "in_service")))
+	w.start()
+	text, err := os.ReadFile(w.file)
+	w.must(err)
+	hup := func(from, to, logs string) {
+		w.t.Helper()
+		next := strings.Replace(string(text), from, to, 1)
+		w.must(os.WriteFile(w.file, []byte(next), 0o600))
+		w.must(w.cmd.Process.Signal(syscall.SIGHUP))
+		w.until(logs, func() bool { return strings.Contains(w.output.String(), logs) })
+	}
+	busy, second := w.dial(), w.dial()
+	io.WriteString(busy, request("a", "/plan/x", ""))
+	w.await("w1: a", 1)
+	w.back("a", "w1", "started", "")
+	hup(`"open_cap":100`, `"open_cap":1`, "until_restart=[]")
+	w.until("deferred", func() bool {
+		_, err := io.WriteString(second, request(fmt.Sprint("b", time.Now().UnixNano()), "/plan/x", ""))
+		w.must(err)
+		return strings.HasPrefix(second.answer(), "503")
+	})
+	hup(`"second_copies":true`, `"second_copies":false`, "until_restart=[settings.allowed.second_copies]")
+	w.back("a", "w1", "done", "a")
+	w.note("busy: %s", busy.answer())
+	w.must(w.cmd.Process.Signal(syscall.SIGTERM))
+	w.note("exit: %v", w.cmd.Wait())
+	if !strings.HasSuffix(w.log.String(), "busy: 200 a\nexit: <nil>\n") {
+		t.Error(w.log.String())
+	}
+}
+
 // TestRestart: killed, it starts from nothing but the old list, also while discovery is silent.
 func TestRestart(t *testing.T) {
 	w := newWorld(t)
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -90,8 +90,8 @@
 // Close ends it and lets the folder go.
 func (c *Council) Close() {
 	c.stop()
-	c.running.Wait()
 	c.client.Close()
+	c.running.Wait()
 	if c.disk != nil {
 		c.disk.Close()
 	}
--- a/internal/fleet/book.go
+++ b/internal/fleet/book.go
@@ -16,6 +16,7 @@
 	until float64 // until when it may have a lease
 	told  uint64  // the newest version that it was told of,
 	since float64 // and when
+	began float64 // Unix
 }
 
 // Book is a leader's, from its election on.
@@ -72,7 +73,15 @@
 			return r, true // what new leaders rest on would not be true any longer
 		}
 		p = &process{until: math.Inf(-1)}
-		if all = append(all, p); len(all) > mostProcesses { // the lease of the one forgotten is waited out with the next
+		if k := len(t.Runs) - 1; k >= 0 {
+			p.began = t.Runs[k].Began
+		}
+		// In the order of their beginnings: a new leader may hear of a newer one first.
+		at := slices.IndexFunc(all, func(x *process) bool { return x.began > p.began })
+		if at < 0 {
+			at = len(all)
+		}
+		if all = slices.Insert(all, at, p); len(all) > mostProcesses { // the lease of the one forgotten is waited out with the next
 			all[1].until = max(all[0].until, all[1].until)
 			all = slices.Delete(all, 0, 1)
 		}
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -32,11 +32,10 @@
 const (
 	bodyMost    = 4 << 20
 	headMost    = 4 << 10
-	callsMost   = 2048
 	readWithin  = 10 * time.Second // a whole message, and until the next one
 	WaitMost    = 10 * time.Second // a long poll
 	dialWithin  = time.Second
-	Descriptors = 64 // set aside where a fleet is on
+	Descriptors = 64 // set aside for a member's link; a voter takes half of what there is, as each member holds two
 )
 
 // Head stands in each message.
@@ -192,11 +191,11 @@
 	running  sync.WaitGroup
 }
 
-// Serve answers on a listener until Close.
-func Serve(l net.Listener, name string, council Council, member Member) *Server {
+// Serve answers on a listener until Close, so many calls at once at most.
+func Serve(l net.Listener, name string, most int, council Council, member Member) *Server {
 	s := &Server{head: Head{name, fleet.Format}, council: council, member: member, listener: l}
 	s.ctx, s.stop = context.WithCancel(context.Background())
-	s.server = &fasthttp.Server{Handler: s.handle, Concurrency: callsMost, ReadTimeout: readWithin, WriteTimeout: readWithin,
+	s.server = &fasthttp.Server{Handler: s.handle, Concurrency: most, ReadTimeout: readWithin, WriteTimeout: readWithin,
 		IdleTimeout: 3 * readWithin, ReadBufferSize: headMost, MaxRequestBodySize: bodyMost, NoDefaultServerHeader: true, SecureErrorLogMessage: true, Logger: silent{}}
 	s.running.Go(func() { _ = s.server.Serve(l) }) // ends when it is closed
 	return s
@@ -266,12 +265,29 @@
 	head Head
 	via  map[string]string
 	c    *fasthttp.Client
+	mu   sync.Mutex
+	open map[*dialed]bool
+	over bool
+}
+
+// dialed is a connection that the client's end closes.
+type dialed struct {
+	net.Conn
+	c *Client
+}
+
+// Close ends it.
+func (d *dialed) Close() error {
+	d.c.mu.Lock()
+	delete(d.c.open, d)
+	d.c.mu.Unlock()
+	return d.Conn.Close()
 }
 
 // NewClient speaks for the named fleet. Via tells where addresses are found from here; those that it lacks are found where
 // they are.
 func NewClient(name string, via map[string]string) *Client {
-	c := &Client{head: Head{name, fleet.Format}, via: via}
+	c := &Client{head: Head{name, fleet.Format}, via: via, open: map[*dialed]bool{}}
 	c.c = &fasthttp.Client{MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 		RetryIfErr:      func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
 		MaxConnsPerHost: 64, MaxResponseBodySize: bodyMost, MaxIdleConnDuration: readWithin, StreamResponseBody: false,
@@ -283,11 +299,37 @@
 	if other, ok := c.via[addr]; ok {
 		addr = other
 	}
-	return net.DialTimeout("tcp4", addr, within)
+	conn, err := net.DialTimeout("tcp4", addr, within)
+	if err != nil {
+		return nil, err
+	}
+	d := &dialed{conn, c}
+	c.mu.Lock()
+	over := c.over
+	if !over {
+		c.open[d] = true
+	}
+	c.mu.Unlock()
+	if over {
+		conn.Close()
+		return nil, net.ErrClosed
+	}
+	return d, nil
 }
 
-// Close ends idle connections.
-func (c *Client) Close() { c.c.CloseIdleConnections() }
+// Close ends all connections, and with them the calls that are under way; none is made any longer.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.over = true
+	var all []*dialed
+	for d := range c.open {
+		all = append(all, d)
+	}
+	c.mu.Unlock()
+	for _, d := range all {
+		d.Conn.Close()
+	}
+}
 
 // call posts one message and reads its answer, all within a time.
 func call[A any](c *Client, addr, path string, within time.Duration, m any) (a A, err error) {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -38,6 +38,8 @@
 	// Bring has a version brought into force. Applied is called once, from any goroutine, when nothing begun under an
 	// older one is still to be written; what waits for a restart is said. An error: it cannot be.
 	Bring func(v fleet.Version, applied func(waits string)) error
+	// Check tells whether a version's text could be brought into force here.
+	Check func(text []byte) error
 }
 
 // Times of a member.
@@ -55,6 +57,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	client  *fleetlink.Client
+	polls   *fleetlink.Client // its end ends the poll that is under way
 	gate    *Gate
 	folder  *folder
 	running sync.WaitGroup
@@ -72,7 +75,7 @@
 
 // Start takes up the folder and begins to follow. The first version that the folder knows is brought into force at once.
 func Start(o Options, g *Gate) *Member {
-	m := &Member{o: o, client: fleetlink.NewClient(o.Fleet, o.Via), gate: g, rnd: rand.New(rand.NewPCG(o.Seed, 0x666c6565))}
+	m := &Member{o: o, client: fleetlink.NewClient(o.Fleet, o.Via), polls: fleetlink.NewClient(o.Fleet, o.Via), gate: g, rnd: rand.New(rand.NewPCG(o.Seed, 0x666c6565))}
 	m.ctx, m.stop = context.WithCancel(context.Background())
 	m.folder = openFolder(o.Folder)
 	state, runs := m.folder.read(o.Fleet)
@@ -91,6 +94,7 @@
 // Close ends it, once the dispatcher has ended: the council is told that nothing more will be done.
 func (m *Member) Close() {
 	m.stop()
+	m.polls.Close()
 	m.running.Wait()
 	m.gate.end()
 	m.beat(true)
@@ -298,7 +302,7 @@
 	s := m.self.State()
 	q := fleetlink.After{N: s.N(), Digest: s.Digest(), Wait: float64(wait) / 1e6, Skip: len(m.part), For: m.upto}
 	m.mu.Unlock()
-	b, err := m.client.Entries(addr, q, wait+pollMore)
+	b, err := m.polls.Entries(addr, q, wait+pollMore)
 	if err != nil || b.Fault != "" || b.Busy {
 		return false
 	}
@@ -368,6 +372,13 @@
 	m.mu.Lock()
 	all := m.voters()
 	m.mu.Unlock()
+	if q.Command.Kind == fleet.Published {
+		// This guards against a version that nobody can read: fenced, it would shut out the whole fleet.
+		if err := m.o.Check(q.Command.Text); err != nil {
+			a.Fault, a.Local = fmt.Sprintf("%s cannot bring it into force: %v", m.o.Name, err), m.Local()
+			return a
+		}
+	}
 	a.NoLeader = true
 	council := m.council()
 	if council != nil {
--- /dev/null
+++ b/internal/member/member_test.go
@@ -0,0 +1,89 @@
+package member
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"weldmast/internal/fleet"
+)
+
+// TestFolder: what was written is there, what was spoilt counts as absent, and only one process writes.
+func TestFolder(t *testing.T) {
+	dir := t.TempDir()
+	s := fleet.NewState("f")
+	if _, _, err := s.Apply(fleet.Command{Kind: fleet.Published, Request: "r", Text: []byte("{}")}); err != nil {
+		t.Fatal(err)
+	}
+	g := NewGate(NewClock(), "run")
+	g.InForce(1)
+	g.Act(fleet.HandedOff)
+	f := openFolder(dir)
+	f.write(s, []fleet.Run{g.record()})
+	other := openFolder(dir)
+	other.write(fleet.NewState("f"), nil) // the folder is another process's
+	read := func() (uint64, int) {
+		s, runs := openFolder(dir).read("f")
+		return s.N(), len(runs)
+	}
+	if n, runs := read(); n != 1 || runs != 1 {
+		t.Fatalf("read back: %d entries, %d runs", n, runs)
+	}
+	if s, _ := openFolder(dir).read("g"); s.N() != 0 {
+		t.Error("another fleet's history is taken")
+	}
+	for _, name := range []string{historyFile, recordFile} {
+		path := filepath.Join(dir, name)
+		whole, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for at := range whole {
+			text := append([]byte(nil), whole...)
+			text[at] ^= 1
+			if err := os.WriteFile(path, text, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if n, runs := read(); name == historyFile && n != 0 || name == recordFile && runs != 0 {
+				t.Fatalf("%s, byte %d turned round: it is taken", name, at)
+			}
+		}
+		if err := os.WriteFile(path, whole[:len(whole)/2], 0o600); err != nil {
+			t.Fatal(err)
+		}
+		read()
+		if err := os.WriteFile(path, whole, 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.close()
+	other.write(s, nil)
+	if _, runs := read(); runs != 0 {
+		t.Error("a folder that is free again is not written")
+	}
+}
+
+// TestRecord: acts stand under the version in force at their moment.
+func TestRecord(t *testing.T) {
+	g := NewGate(NewClock(), "run")
+	g.Act(fleet.Deferred)
+	g.InForce(3)
+	g.InForce(3)
+	g.Act(fleet.HandedOff)
+	g.Act(fleet.HandedOff)
+	r := g.record()
+	if len(r.Versions) != 2 || r.Versions[0].Kinds[fleet.Deferred].Count != 1 || r.Versions[1].Version != 3 || r.Versions[1].Kinds[fleet.HandedOff].Count != 2 {
+		t.Errorf("%+v", r)
+	}
+	if g.Open() {
+		t.Error("a new gate is open")
+	}
+	g.set(g.clock.Now() + 1e6)
+	if !g.Open() {
+		t.Error("shut")
+	}
+	g.end()
+	if g.Open() || !g.record().Ended {
+		t.Error("ended, and open")
+	}
+}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -32,6 +32,7 @@
 // one way of applying.
 type inForce struct {
 	node *node.Node
+	most int // clients that may wait at once, whatever the configuration says: the fleet's link has its part of the descriptors
 
 	mu      sync.Mutex
 	running config.Config // as started and last reloaded: what versions are laid over
@@ -39,6 +40,13 @@
 	moved   string        // where discovery was last said to be
 }
 
+func (f *inForce) bound(open int) int {
+	if f.most > 0 {
+		return min(open, f.most)
+	}
+	return open
+}
+
 // reload takes the process's own files anew; a version that is in force is laid over them again.
 func (f *inForce) reload(next config.Config) {
 	f.mu.Lock()
@@ -59,7 +67,7 @@
 		return
 	}
 	if other {
-		f.node.Queue(node.Changed{Settings: now.Settings, MaxOpen: now.Links.MaxOpen, Mark: now.Mark})
+		f.node.Queue(node.Changed{Settings: now.Settings, MaxOpen: f.bound(now.Links.MaxOpen), Mark: now.Mark})
 	}
 	f.node.Queue(node.Moved{Discovery: now.Discovery.String()}) // the same address is asked anew as well
 }
@@ -75,6 +83,14 @@
 	return err
 }
 
+// check tells whether a version could be laid over this process's configuration.
+func (f *inForce) check(text []byte) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	_, _, err := config.Overlay(f.running, os.Getenv, text)
+	return err
+}
+
 // lay has the reducer take a version laid over the process's own configuration. The lock is held.
 func (f *inForce) lay(v fleet.Version, applied func(waits string)) (waits []string, err error) {
 	c, waits, err := config.Overlay(f.running, os.Getenv, v.Text)
@@ -82,7 +98,7 @@
 		return nil, err
 	}
 	s, _ := settings.InFlight(f.running.Settings, c.Settings, f.running.Names.Same(c.Names))
-	change := node.Changed{Version: v.Number, Settings: s, MaxOpen: c.Links.MaxOpen, Mark: c.Mark, Discovery: c.Discovery.String()}
+	change := node.Changed{Version: v.Number, Settings: s, MaxOpen: f.bound(c.Links.MaxOpen), Mark: c.Mark, Discovery: c.Discovery.String()}
 	if applied != nil {
 		change.Applied = func() { go applied(strings.Join(waits, ", ")) } // the reducer waits for nobody
 	}
@@ -133,6 +149,14 @@
 	return p, nil
 }
 
+// descriptors are those that the part may use, out of the limit.
+func (p *part) descriptors() int {
+	if p.m.Voter {
+		return max(fleetlink.Descriptors, p.own.Sockets/2)
+	}
+	return fleetlink.Descriptors
+}
+
 // follow begins, once the reducer is about to run.
 func (p *part) follow() {
 	if p == nil {
@@ -186,7 +210,7 @@
 	case <-p.stop:
 		l.Close()
 	default:
-		p.server = fleetlink.Serve(l, p.m.Fleet, council, p.member)
+		p.server = fleetlink.Serve(l, p.m.Fleet, p.descriptors(), council, p.member)
 	}
 }
 
@@ -199,7 +223,7 @@
 		return
 	}
 	p.member = member.Start(member.Options{Fleet: p.m.Fleet, Name: p.m.Name, Address: addr, Alone: p.m.Alone, Voters: p.m.Voters, Via: p.m.Via, Folder: p.m.Folder,
-		Figures: p.m.Figures, Program: release, Run: p.run, Seed: p.seed, Clock: p.clock, Council: council, Bound: p.bound.Load, Bring: p.force.bring}, p.gate)
+		Figures: p.m.Figures, Program: release, Run: p.run, Seed: p.seed, Clock: p.clock, Council: council, Bound: p.bound.Load, Bring: p.force.bring, Check: p.force.check}, p.gate)
 }
 
 // close ends the part, after the dispatcher has ended.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -17,7 +17,6 @@
 
 	"weldmast/internal/config"
 	"weldmast/internal/figures"
-	"weldmast/internal/fleetlink"
 	"weldmast/internal/logs"
 	"weldmast/internal/node"
 	"weldmast/internal/operate"
@@ -120,7 +119,9 @@
 		}
 		defer of.close()
 		no.Gate, o.Gate = of.gate, of.gate
-		o.Sockets -= fleetlink.Descriptors
+		o.Sockets -= of.descriptors()
+		force.most = o.Sockets / 2
+		no.MaxOpen = force.bound(no.MaxOpen)
 	}
 	n := node.New(no)
 	force.node = n
--- a/internal/sockets/fleet.go
+++ b/internal/sockets/fleet.go
@@ -45,13 +45,14 @@
 
 	mu     sync.Mutex
 	stalls []Stall
+	done   chan struct{} // closed once all is healed, or was not in time
 	j      audit.Fleet
 	open   map[string]bool // requests that were published and have no answer
 }
 
 func (r *rig) newFleet(seed uint64) error {
 	f := &fleetRig{r: r, x: r.x.Fleet, rnd: rand.New(rand.NewPCG(seed, 0x666c)), relays: map[[2]int]*relay{}, client: fleetlink.NewClient(fleetName, nil),
-		alter: map[int]string{}, manners: map[*world.Fault]func(){}, open: map[string]bool{},
+		alter: map[int]string{}, manners: map[*world.Fault]func(){}, open: map[string]bool{}, done: make(chan struct{}),
 		j: audit.Fleet{Complete: map[uint64]float64{}, Releases: map[string]uint64{"": 0}}}
 	r.fleet = f
 	for range r.hosts {
@@ -365,6 +366,7 @@
 // heal is what comes after the last fault: what was published without an answer is asked for once more, voters that lost
 // their folders are seated anew, and all members have to be current in time.
 func (f *fleetRig) heal() {
+	defer close(f.done)
 	began := f.r.now()
 	by := began + float64(f.x.Heal)
 	what := "no leader"
@@ -423,6 +425,7 @@
 // judge asks for the last audit and judges the day. The members go on meanwhile.
 func (f *fleetRig) judge() *audit.Fleet {
 	var final *fleet.Audit
+	<-f.done
 	time.Sleep(2 * time.Duration(f.x.Beat*1e6)) // the last acts come with the next beats
 	for k := range 3 * len(f.addrs) {
 		if a, ok := f.status(k%len(f.addrs), true); ok && a.Audit != nil {
