A voter's folder is a ledger: a bit turned round is found, and ends no process

Seen: TestFlipped turned one bit round in a voter's file and the process ended by SIGSEGV in bbolt's Page.FastCheck (mmap beyond the file). Cause: bbolt has no checksum for data pages and follows a spoilt page number. Ruled out: recovering the panic, as a fault is none. Measured: every byte of a folder turned round in turn, found or without effect on what was promised; 4,000 entries of 60 KiB keep at most 98 files.

--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -241,11 +241,7 @@
 		return kept, false
 	}
 	c.disk = disk
-	if c.seat, err = disk.Seat(); err != nil {
-		c.say("does not vote: " + err.Error())
-		return kept, false
-	}
-	if c.seat == 0 {
+	if c.seat = disk.Seat(); c.seat == 0 {
 		c.seat = FirstSeat(c.o.Fleet, c.o.Name)
 	}
 	if fresh {
--- a/internal/council/store.go
+++ b/internal/council/store.go
@@ -1,5 +1,6 @@
-// This file owns a voter's folder: one bbolt file with what the voter has promised, and who it is. It must never give back
-// anything that was not written whole.
+// This file owns a voter's folder: what the voter has promised and who it is, as records of a ledger of which later ones
+// overrule earlier ones. It must never give back anything that was not written whole: each record has a checksum, and a
+// seal follows each group, so that a record that was spoilt is told from one that a crash cut short.
 
 package council
 
@@ -7,278 +8,363 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"hash/crc32"
+	"maps"
 	"os"
 	"path/filepath"
-	"time"
+	"slices"
 
-	"go.etcd.io/bbolt"
-	bolterrors "go.etcd.io/bbolt/errors"
 	"go.etcd.io/raft/v3"
 	pb "go.etcd.io/raft/v3/raftpb"
 	"google.golang.org/protobuf/proto"
+
+	"weldmast/internal/ledger"
 )
 
-// Disk is a voter's folder. It holds the folder for this process until it is closed.
-type Disk struct{ db *bbolt.DB }
+// What a record is, its first byte.
+const (
+	recBegin    = 'b' // all that follows up to recEnd is the whole, whatever came before
+	recWho      = 'w'
+	recStarts   = 's'
+	recSeat     = 't'
+	recHard     = 'h'
+	recSnapshot = 'n' // number of the part, of how many, a part
+	recEntry    = 'e' // those of its index and behind it are overruled
+	recOther    = 'o' // starts of another voter, its run, its name
+	recEnd      = 'f'
+	recSeal     = 'z' // the group before it was written whole
+)
 
-var (
-	promise = []byte("promise") // hard, snapshot, starts, voter
-	journal = []byte("journal") // entries by index
-	keyHard = []byte("hard")
-	keySnap = []byte("snapshot")
-	keyRuns = []byte("starts")
-	keyWho  = []byte("voter")
+// Bounds of the folder. Between two compactions come at most compactEvery entries of a version's text each, and the whole
+// is written anew with each; both together stay below what the segments hold before the oldest goes.
+const (
+	segmentBytes = 1 << 20
+	mostSegments = 96
+	snapshotPart = 512 << 10
 )
 
 // ErrDamaged: the folder is not as it was written.
 var ErrDamaged = errors.New("the voter's folder is damaged")
 
-// FileName is that of the one file in a voter's folder.
-const FileName = "voter.db"
+// other is what another voter was heard to have begun.
+type other struct {
+	starts uint64
+	run    string
+}
+
+// image is all that a folder says.
+type image struct {
+	who    string
+	starts uint64
+	seat   uint64
+	others map[string]other
+	Kept
+	parts []byte // of a snapshot that is being read
+}
+
+func (m *image) last() uint64 {
+	if k := len(m.Entries); k > 0 {
+		return m.Entries[k-1].GetIndex()
+	}
+	return m.Snapshot.GetMetadata().GetIndex()
+}
+
+// Disk is a voter's folder. It holds the folder for this process until it is closed.
+type Disk struct {
+	l *ledger.Ledger
+	image
+}
+
+// Folder is that of a voter within its member's.
+const Folder = "voter"
 
 // OpenDisk opens a folder, made by who first votes there. Fresh: nobody ever voted there. A damaged one is an error.
 func OpenDisk(dir, who string) (d *Disk, kept Kept, starts uint64, fresh bool, err error) {
-	path := filepath.Join(dir, FileName)
-	defer func() {
-		if v := recover(); v != nil { // bbolt panics over some kinds of damage
-			err = fmt.Errorf("%w: %v", ErrDamaged, v)
-		}
-		if err != nil && d != nil {
-			d.db.Close()
-			d = nil
-		}
-	}()
-	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: 100 * time.Millisecond, FreelistType: bbolt.FreelistMapType})
+	dir = filepath.Join(dir, Folder)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, kept, 0, false, fmt.Errorf("voter's folder: %w", err)
+	}
+	d = &Disk{image: empty()}
+	r := reader{image: &d.image}
+	d.l, err = ledger.Open(ledger.Disk{}, dir, ledger.Options{SegmentBytes: segmentBytes, MostSegments: mostSegments}, r.record)
+	if errors.Is(err, ledger.ErrDamage) {
+		err = fmt.Errorf("%w: %w", ErrDamaged, err)
+	}
 	if err != nil {
-		if errors.Is(err, bolterrors.ErrInvalid) || errors.Is(err, bolterrors.ErrChecksum) || errors.Is(err, bolterrors.ErrVersionMismatch) {
-			return nil, kept, 0, false, fmt.Errorf("%w: %w", ErrDamaged, err)
-		}
 		return nil, kept, 0, false, fmt.Errorf("voter's folder: %w", err)
 	}
-	d = &Disk{db: db}
-	err = db.View(func(tx *bbolt.Tx) error {
-		p, j := tx.Bucket(promise), tx.Bucket(journal)
-		if p == nil || j == nil {
-			fresh = true
+	switch {
+	case !r.whole && r.seen: // its beginning is gone
+		err = fmt.Errorf("%w: it has no beginning", ErrDamaged)
+	case !r.whole:
+		return d, kept, 0, true, nil
+	case d.who != who:
+		err = fmt.Errorf("the folder is that of the voter %q, this is %q", d.who, who)
+	case d.Hard.GetCommit() > d.last():
+		err = fmt.Errorf("%w: it ends at %d, %d was promised", ErrDamaged, d.last(), d.Hard.GetCommit())
+	}
+	if err != nil {
+		d.l.Close()
+		return nil, kept, 0, false, err
+	}
+	kept = d.Kept
+	kept.Entries = slices.Clone(d.Entries)
+	return d, kept, d.image.starts, false, nil
+}
+
+func empty() image {
+	return image{others: map[string]other{}, Kept: Kept{Hard: &pb.HardState{}, Snapshot: &pb.Snapshot{}}}
+}
+
+// reader makes an image of records.
+type reader struct {
+	image *image
+	next  *image // between recBegin and recEnd
+	seen  bool
+	whole bool
+}
+
+func (r *reader) record(rec ledger.Record) error {
+	if len(rec.Content) == 0 {
+		return fmt.Errorf("%w: an empty record", ErrDamaged)
+	}
+	r.seen = true
+	kind, b := rec.Content[0], rec.Content[1:]
+	switch kind {
+	case recBegin:
+		m := empty()
+		r.next = &m
+		return nil
+	case recEnd:
+		if r.next != nil {
+			*r.image, r.next, r.whole = *r.next, nil, true
+		}
+		return nil
+	case recSeal:
+		return nil
+	}
+	m := r.next
+	if m == nil {
+		if !r.whole { // of a time whose beginning was forgotten; the whole comes again
 			return nil
 		}
-		if was, err := unseal(p.Get(keyWho)); err != nil {
+		m = r.image
+	}
+	return m.take(kind, b)
+}
+
+// take has a record say what it says.
+func (m *image) take(kind byte, b []byte) error {
+	number := func() (uint64, error) {
+		if len(b) < 8 {
+			return 0, fmt.Errorf("%w: a record of kind %c ends early", ErrDamaged, kind)
+		}
+		n := binary.BigEndian.Uint64(b)
+		b = b[8:]
+		return n, nil
+	}
+	var err error
+	switch kind {
+	case recWho:
+		m.who = string(b)
+	case recStarts:
+		m.starts, err = number()
+	case recSeat:
+		m.seat, err = number()
+	case recOther:
+		var o other
+		if o.starts, err = number(); err != nil {
 			return err
-		} else if string(was) != who {
-			return fmt.Errorf("the folder is that of the voter %q, this is %q", was, who)
 		}
-		n, err := unseal(p.Get(keyRuns))
-		if err != nil || len(n) != 8 {
+		run, err := number()
+		if err != nil || run > uint64(len(b)) {
 			return errors.Join(ErrDamaged, err)
 		}
-		starts = binary.BigEndian.Uint64(n)
-		kept.Hard, kept.Snapshot = &pb.HardState{}, &pb.Snapshot{}
-		if err := errors.Join(message(p.Get(keyHard), kept.Hard), message(p.Get(keySnap), kept.Snapshot)); err != nil {
-			return err
-		}
-		next := uint64(0)
-		err = j.ForEach(func(_, b []byte) error {
-			e := &pb.Entry{}
-			if err := message(b, e); err != nil {
-				return err
-			}
-			if next != 0 && e.GetIndex() != next {
-				return fmt.Errorf("%w: entry %d stands where %d should", ErrDamaged, e.GetIndex(), next)
-			}
-			next = e.GetIndex() + 1
-			if e.GetIndex() > kept.Snapshot.GetMetadata().GetIndex() {
-				kept.Entries = append(kept.Entries, e)
-			}
-			return nil
-		})
+		o.run = string(b[:run])
+		m.others[string(b[run:])] = o
+	case recHard:
+		m.Hard = &pb.HardState{}
+		err = proto.Unmarshal(b, m.Hard)
+	case recSnapshot:
+		part, err := number()
 		if err != nil {
 			return err
 		}
-		last := kept.Snapshot.GetMetadata().GetIndex()
-		if k := len(kept.Entries); k > 0 {
-			if kept.Entries[0].GetIndex() != last+1 {
-				return fmt.Errorf("%w: entries begin at %d, the snapshot ends at %d", ErrDamaged, kept.Entries[0].GetIndex(), last)
-			}
-			last = kept.Entries[k-1].GetIndex()
-		}
-		if kept.Hard.GetCommit() > last {
-			return fmt.Errorf("%w: it ends at %d, %d was promised", ErrDamaged, last, kept.Hard.GetCommit())
-		}
-		return nil
-	})
-	return d, kept, starts, fresh, err
-}
-
-// Found begins a fresh folder.
-func (d *Disk) Found(who string, first Kept) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		p, err := tx.CreateBucketIfNotExists(promise)
+		of, err := number()
 		if err != nil {
 			return err
 		}
-		if _, err = tx.CreateBucketIfNotExists(journal); err != nil {
-			return err
+		if part == 0 {
+			m.parts = nil
 		}
-		return errors.Join(p.Put(keyWho, seal([]byte(who))), p.Put(keyRuns, seal(make([]byte, 8))),
-			put(p, keyHard, first.Hard), put(p, keySnap, first.Snapshot))
-	})
-}
-
-// Started notes one more start.
-func (d *Disk) Started(starts uint64) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		return tx.Bucket(promise).Put(keyRuns, seal(binary.BigEndian.AppendUint64(nil, starts)))
-	})
-}
-
-// Save is of a Store: one transaction, durable when it returns.
-func (d *Disk) Save(hard *pb.HardState, entries []*pb.Entry, snapshot *pb.Snapshot) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		p, j := tx.Bucket(promise), tx.Bucket(journal)
-		if !raft.IsEmptySnap(snapshot) {
-			if err := errors.Join(put(p, keySnap, snapshot), after(j, nil)); err != nil {
-				return err
-			}
-		}
-		if hard != nil {
-			if err := put(p, keyHard, hard); err != nil {
-				return err
-			}
+		if m.parts = append(m.parts, b...); part+1 == of {
+			m.Snapshot = &pb.Snapshot{}
+			err = proto.Unmarshal(m.parts, m.Snapshot)
+			m.parts = nil
 		}
-		if len(entries) > 0 { // what was there from the first of them on is overruled
-			if err := after(j, key(entries[0].GetIndex())); err != nil {
-				return err
-			}
-		}
-		for _, e := range entries {
-			if err := put(j, key(e.GetIndex()), e); err != nil {
-				return err
-			}
+		return err
+	case recEntry:
+		e := &pb.Entry{}
+		if err := proto.Unmarshal(b, e); err != nil {
+			return fmt.Errorf("%w: %w", ErrDamaged, err)
 		}
-		return nil
-	})
+		return m.append(e)
+	default:
+		err = fmt.Errorf("a record of kind %q: %w", kind, ledger.ErrNewer)
+	}
+	return err
 }
 
-// Compact is of a Store.
-func (d *Disk) Compact(snapshot *pb.Snapshot, from uint64) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		if err := put(tx.Bucket(promise), keySnap, snapshot); err != nil {
-			return err
-		}
-		c := tx.Bucket(journal).Cursor()
-		for k, _ := c.First(); k != nil && binary.BigEndian.Uint64(k) < from; k, _ = c.Next() {
-			if err := c.Delete(); err != nil {
-				return err
-			}
-		}
+// append puts an entry in its place; what stood there and behind it is overruled.
+func (m *image) append(e *pb.Entry) error {
+	first := m.Snapshot.GetMetadata().GetIndex() + 1
+	if e.GetIndex() < first {
 		return nil
-	})
-}
-
-// Close lets the folder go.
-func (d *Disk) Close() error { return d.db.Close() }
-
-// Lost moves a folder's file aside that cannot be used, so that an operator can look at it.
-func Lost(dir string) error {
-	path := filepath.Join(dir, FileName)
-	return os.Rename(path, path+".damaged")
-}
-
-// after deletes all from a key on.
-func after(j *bbolt.Bucket, from []byte) error {
-	c := j.Cursor()
-	for k, _ := c.Seek(from); k != nil; k, _ = c.Next() {
-		if err := c.Delete(); err != nil {
-			return err
-		}
 	}
+	k := e.GetIndex() - first
+	if k > uint64(len(m.Entries)) {
+		return fmt.Errorf("%w: entry %d stands where %d should", ErrDamaged, e.GetIndex(), first+uint64(len(m.Entries)))
+	}
+	m.Entries = append(m.Entries[:k:k], e)
 	return nil
 }
 
-func key(index uint64) []byte { return binary.BigEndian.AppendUint64(nil, index) }
+func numbered(kind byte, n uint64) []byte { return binary.BigEndian.AppendUint64([]byte{kind}, n) }
 
-var table = crc32.MakeTable(crc32.Castagnoli)
+func encoded(kind byte, m proto.Message) ([]byte, error) {
+	text, err := proto.Marshal(m)
+	if err != nil {
+		return nil, fmt.Errorf("voter: %w", err)
+	}
+	return append([]byte{kind}, text...), nil
+}
 
-// seal adds a checksum: bbolt has them for its own pages' heads only, and a flipped bit must not become a promise.
-func seal(b []byte) []byte {
-	return binary.BigEndian.AppendUint32(append([]byte(nil), b...), crc32.Checksum(b, table))
+func (o other) record(name string) []byte {
+	b := binary.BigEndian.AppendUint64(numbered(recOther, o.starts), uint64(len(o.run)))
+	return append(append(b, o.run...), name...)
 }
 
-func unseal(b []byte) ([]byte, error) {
-	k := len(b) - 4
-	if k < 0 || crc32.Checksum(b[:k], table) != binary.BigEndian.Uint32(b[k:]) {
-		return nil, fmt.Errorf("%w: a checksum is wrong", ErrDamaged)
+// write makes records durable, sealed; then next is what the folder says.
+func (d *Disk) write(next image, records ...[]byte) error {
+	if _, err := d.l.Append(append(records, []byte{recSeal})...); err != nil {
+		return fmt.Errorf("voter's folder: %w", err)
 	}
-	return b[:k], nil
+	d.image = next
+	return nil
 }
 
-func put(b *bbolt.Bucket, k []byte, m proto.Message) error {
-	text, err := proto.Marshal(m)
+// whole writes all that an image says.
+func (d *Disk) whole(next image) error {
+	records := [][]byte{{recBegin}, append([]byte{recWho}, next.who...), numbered(recStarts, next.starts), numbered(recSeat, next.seat)}
+	for _, name := range slices.Sorted(maps.Keys(next.others)) {
+		records = append(records, next.others[name].record(name))
+	}
+	text, err := proto.Marshal(next.Snapshot)
 	if err != nil {
 		return fmt.Errorf("voter: %w", err)
 	}
-	return b.Put(k, seal(text))
-}
-
-func message(b []byte, m proto.Message) error {
-	text, err := unseal(b)
+	of := max((len(text)+snapshotPart-1)/snapshotPart, 1)
+	for k := range of {
+		head := binary.BigEndian.AppendUint64(numbered(recSnapshot, uint64(k)), uint64(of))
+		records = append(records, append(head, text[min(k*snapshotPart, len(text)):min((k+1)*snapshotPart, len(text))]...))
+	}
+	hard, err := encoded(recHard, next.Hard)
 	if err != nil {
 		return err
 	}
-	if err := proto.Unmarshal(text, m); err != nil {
-		return fmt.Errorf("%w: %w", ErrDamaged, err)
+	records = append(records, hard)
+	for _, e := range next.Entries {
+		b, err := encoded(recEntry, e)
+		if err != nil {
+			return err
+		}
+		records = append(records, b)
 	}
-	return nil
+	return d.write(next, append(records, []byte{recEnd})...)
 }
 
-// What other voters were heard to have promised: the starts of each, and the run of the last.
-var starts = []byte("others")
+// Found begins a fresh folder.
+func (d *Disk) Found(who string, first Kept) error {
+	next := empty()
+	next.who, next.Kept = who, first
+	return d.whole(next)
+}
+
+// Started notes one more start.
+func (d *Disk) Started(starts uint64) error {
+	next := d.image
+	next.starts = starts
+	return d.write(next, numbered(recStarts, starts))
+}
 
 // Seen notes a start of another voter, and gives the starts known before that are not of the same run.
 func (d *Disk) Seen(voter string, count uint64, run string) (known uint64, err error) {
-	err = d.db.Update(func(tx *bbolt.Tx) error {
-		b, err := tx.CreateBucketIfNotExists(starts)
+	o := d.others[voter]
+	if known = o.starts; known > 0 && o.run == run {
+		known--
+	}
+	if count <= known {
+		return known, nil
+	}
+	next := d.image
+	next.others = maps.Clone(d.others)
+	next.others[voter] = other{count, run}
+	return known, d.write(next, next.others[voter].record(voter))
+}
+
+// Seat is the number of this voter that the folder keeps; 0: its first one.
+func (d *Disk) Seat() uint64 { return d.seat }
+
+// Reseat keeps a new number.
+func (d *Disk) Reseat(seat uint64) error {
+	next := d.image
+	next.seat = seat
+	return d.write(next, numbered(recSeat, seat))
+}
+
+// Save is of a Store: durable when it returns.
+func (d *Disk) Save(hard *pb.HardState, entries []*pb.Entry, snapshot *pb.Snapshot) error {
+	next := d.image
+	var records [][]byte
+	if hard != nil {
+		next.Hard = hard
+		b, err := encoded(recHard, hard)
 		if err != nil {
 			return err
 		}
-		if old := b.Get([]byte(voter)); old != nil {
-			text, err := unseal(old)
-			if err != nil || len(text) < 8 {
-				return errors.Join(ErrDamaged, err)
-			}
-			if known = binary.BigEndian.Uint64(text); string(text[8:]) == run {
-				known--
-			}
+		records = append(records, b)
+	}
+	if !raft.IsEmptySnap(snapshot) {
+		next.Snapshot, next.Entries = snapshot, nil
+	}
+	next.Entries = slices.Clip(next.Entries)
+	for _, e := range entries {
+		b, err := encoded(recEntry, e)
+		if err != nil {
+			return err
 		}
-		if count <= known {
-			return nil
+		records = append(records, b)
+		if err := next.append(e); err != nil {
+			return err
 		}
-		return b.Put([]byte(voter), seal(append(binary.BigEndian.AppendUint64(nil, count), run...)))
-	})
-	return known, err
+	}
+	if !raft.IsEmptySnap(snapshot) {
+		return d.whole(next)
+	}
+	return d.write(next, records...)
 }
 
-// Seat is the number of this voter that the folder keeps; 0: its first one.
-func (d *Disk) Seat() (seat uint64, err error) {
-	err = d.db.View(func(tx *bbolt.Tx) error {
-		if p := tx.Bucket(promise); p != nil && p.Get(keySeat) != nil {
-			text, err := unseal(p.Get(keySeat))
-			if err != nil || len(text) != 8 {
-				return errors.Join(ErrDamaged, err)
-			}
-			seat = binary.BigEndian.Uint64(text)
+// Compact is of a Store. What the snapshot covers is left out; the folder needs none of it, however far a follower is behind.
+func (d *Disk) Compact(snapshot *pb.Snapshot, _ uint64) error {
+	next := d.image
+	next.Snapshot = snapshot
+	next.Entries = nil
+	for _, e := range d.Entries {
+		if e.GetIndex() > snapshot.GetMetadata().GetIndex() {
+			next.Entries = append(next.Entries, e)
 		}
-		return nil
-	})
-	return seat, err
-}
-
-// Reseat keeps a new number.
-func (d *Disk) Reseat(seat uint64) error {
-	return d.db.Update(func(tx *bbolt.Tx) error {
-		return tx.Bucket(promise).Put(keySeat, seal(binary.BigEndian.AppendUint64(nil, seat)))
-	})
+	}
+	return d.whole(next)
 }
 
-var keySeat = []byte("seat")
+// Close lets the folder go.
+func (d *Disk) Close() error { return d.l.Close() }
--- a/internal/council/store_test.go
+++ b/internal/council/store_test.go
@@ -56,6 +56,49 @@
 	}
 }
 
+// TestCompacted: a folder that was compacted, a start after it, and a snapshot larger than one record.
+func TestCompacted(t *testing.T) {
+	dir := t.TempDir()
+	d, _, _, _, err := OpenDisk(dir, "v")
+	if err != nil {
+		t.Fatal(err)
+	}
+	big := &pb.Snapshot{Data: bytes.Repeat([]byte("x"), 3*snapshotPart/2), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(3), Term: proto.Uint64(2)}}
+	if err := errors.Join(d.Found("v", First("f", []fleet.Voter{{Name: "v", Address: "a", Seat: 9}})), d.Reseat(5),
+		d.Save(&pb.HardState{Term: proto.Uint64(2), Commit: proto.Uint64(2)}, []*pb.Entry{entry(2, 2, "a"), entry(3, 2, "b"), entry(4, 2, "c")}, nil),
+		d.Compact(big, 1), d.Save(nil, []*pb.Entry{entry(5, 2, "d")}, nil), d.Close()); err != nil {
+		t.Fatal(err)
+	}
+	d, kept, _, _, err := OpenDisk(dir, "v")
+	if err != nil || d.Seat() != 5 || len(kept.Snapshot.GetData()) != len(big.GetData()) || len(kept.Entries) != 2 || kept.Entries[1].GetIndex() != 5 {
+		t.Fatalf("%v %+v", err, kept.Entries)
+	}
+	// Thousands of entries: the oldest segments go, the whole stays.
+	text := string(bytes.Repeat([]byte("y"), 60<<10))
+	for index := uint64(6); index < 4000; index++ {
+		if err := d.Save(nil, []*pb.Entry{entry(index, 2, text)}, nil); err != nil {
+			t.Fatal(err)
+		}
+		if index%compactEvery == 0 {
+			snap := &pb.Snapshot{Data: []byte("s"), Metadata: &pb.SnapshotMetadata{Index: proto.Uint64(index - 1), Term: proto.Uint64(2)}}
+			if err := d.Compact(snap, 1); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	if err := d.Close(); err != nil {
+		t.Fatal(err)
+	}
+	d, kept, _, _, err = OpenDisk(dir, "v")
+	if err != nil || kept.Entries[len(kept.Entries)-1].GetIndex() != 3999 {
+		t.Fatal(err)
+	}
+	if segments, err := os.ReadDir(filepath.Join(dir, Folder)); err != nil || len(segments) > mostSegments+2 {
+		t.Errorf("%d files: %v", len(segments), err)
+	}
+	d.Close()
+}
+
 // TestFlipped: a bit turned round in a folder is found, or changes nothing that was promised.
 func TestFlipped(t *testing.T) {
 	dir := t.TempDir()
@@ -67,13 +110,13 @@
 		d.Save(&pb.HardState{Term: proto.Uint64(2), Vote: proto.Uint64(9), Commit: proto.Uint64(2)}, []*pb.Entry{entry(2, 2, "a"), entry(3, 2, "b")}, nil), d.Close()); err != nil {
 		t.Fatal(err)
 	}
-	path := filepath.Join(dir, FileName)
+	path := filepath.Join(dir, Folder, "0000000001.seg")
 	whole, err := os.ReadFile(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	found, kept := 0, 0
-	for at := 0; at < len(whole); at += 41 {
+	for at := range whole {
 		text := bytes.Clone(whole)
 		text[at] ^= 1 << (at % 8)
 		if err := os.WriteFile(path, text, 0o600); err != nil {
@@ -91,8 +134,7 @@
 		}
 		d.Close()
 	}
-	if found == 0 {
-		t.Error("nothing was ever found")
+	if found < len(whole)*9/10 { // only the last seal may go unseen
+		t.Errorf("%d of %d found, %d changed nothing", found, len(whole), kept)
 	}
-	t.Logf("%d found, %d changed nothing", found, kept)
 }
--- a/internal/sockets/fleet.go
+++ b/internal/sockets/fleet.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"io/fs"
 	"math/rand/v2"
 	"os"
 	"path/filepath"
@@ -187,22 +188,17 @@
 
 // flip turns one bit round in each file of a folder.
 func (f *fleetRig) flip(d int) error {
-	files, err := os.ReadDir(f.folder(d))
-	if err != nil {
-		return err
-	}
-	for _, x := range files {
-		path := filepath.Join(f.folder(d), x.Name())
+	return filepath.WalkDir(f.folder(d), func(path string, x fs.DirEntry, err error) error {
+		if err != nil || x.IsDir() {
+			return err
+		}
 		text, err := os.ReadFile(path)
 		if err != nil || len(text) == 0 {
-			continue
-		}
-		text[f.rnd.IntN(len(text))] ^= 1 << f.rnd.IntN(8)
-		if err := os.WriteFile(path, text, 0o600); err != nil {
 			return err
 		}
-	}
-	return nil
+		text[f.rnd.IntN(len(text))] ^= 1 << f.rnd.IntN(8)
+		return os.WriteFile(path, text, 0o600)
+	})
 }
 
 // way gives one direction between two members a manner: what one opens, and what it answers to what the other opens.
