A request that lay unread through a standstill of the process is answered, not closed over

Cause: a connection that has brought nothing for 2 s is closed without a word, and after a standstill its time is over before what lies there was read. Ruled out: the exchange of connections (the same without a takeover). Line at fault: clientConn.Read. One more look of 5 ms before such a connection is closed.

--- a/cmd/weldmast/fleet_test.go
+++ b/cmd/weldmast/fleet_test.go
@@ -246,3 +246,29 @@
 		t.Error(f.output.String())
 	}
 }
+
+// TestStandstill: a request that came while the process stood still, on a connection that had brought none yet, is answered
+// once it goes on, however long that was.
+func TestStandstill(t *testing.T) {
+	w := newWorld(t)
+	w.tell(list(1, true, line("w1", w.finishing("w1"), "in_service")))
+	w.start()
+	var all []*client
+	for range 30 {
+		all = append(all, w.dial())
+	}
+	time.Sleep(200 * time.Millisecond) // it waits for their requests by now
+	w.must(w.cmd.Process.Signal(syscall.SIGSTOP))
+	for k, c := range all {
+		if _, err := c.Write([]byte(request(fmt.Sprint("a", k), "/plan/x", ""))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(2500 * time.Millisecond) // longer than a silent connection may stay
+	w.must(w.cmd.Process.Signal(syscall.SIGCONT))
+	for k, c := range all {
+		if got := c.answer(); got == "no answer" {
+			t.Errorf("request %d: %s", k, got)
+		}
+	}
+}
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -37,6 +37,7 @@
 	// Something of a request must come this long after its connection, and after what came before; an answer must be
 	// read within it as well. It must be there whole within the longest expiry.
 	readWithin = 2 * time.Second
+	lateLook   = 5 * time.Millisecond // once that is over, one more look for what lies there unread
 )
 
 type clients struct {
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -236,6 +236,8 @@
 		c.ahead = c.ahead[n:]
 	} else if n, err = c.Conn.Read(p); n == 0 && c.given(err) {
 		return 0, io.EOF
+	} else if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		n, err = c.late(p, err)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -255,6 +257,21 @@
 	return n, err
 }
 
+// late looks once more at a connection whose time is over. This guards against a process that stood still: its time ran out
+// while the request lay there unread. Not begun: what was sent in pieces has had its time by the clock of its client.
+func (c *clientConn) late(p []byte, err error) (int, error) {
+	c.mu.Lock()
+	look := !c.begun && !c.offered && !c.closing
+	if look {
+		c.Conn.SetReadDeadline(time.Now().Add(lateLook))
+	}
+	c.mu.Unlock()
+	if !look {
+		return 0, err
+	}
+	return c.Conn.Read(p)
+}
+
 // offer has the connection given away as soon as it waits for a request.
 func (c *clientConn) offer() {
 	c.mu.Lock()
