--- a/internal/sockets/sockets.go
+++ b/internal/sockets/sockets.go
@@ -113,6 +113,7 @@
 	peerAt    *net.UDPAddr
 	relays    []*net.UDPConn // by sibling: where this dispatcher finds it; its own: to all
 	cmd       *exec.Cmd
+	still     *exec.Cmd   // that was stopped
 	all       []*exec.Cmd // those before it as well
 	up        bool
 	began     time.Time
@@ -360,7 +361,7 @@
 
 // newRelays opens the addresses at which a dispatcher finds its siblings.
 func (r *rig) newRelays(h *host) error {
-	mine, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	mine, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 1, 1)}) // not among the ports that others draw from
 	if err != nil {
 		return fmt.Errorf("siblings: %w", err)
 	}
@@ -589,10 +590,14 @@
 	if r.fleet != nil {
 		r.fleet.froze(d, on)
 	}
-	if on {
-		r.signal(d, syscall.SIGSTOP)
-	} else {
-		r.signal(d, syscall.SIGCONT)
+	h := r.hosts[d]
+	switch {
+	case on && h.up:
+		h.still = h.cmd
+		_ = h.still.Process.Signal(syscall.SIGSTOP) // one that has just ended needs none
+	case !on && h.still != nil: // the same one, whoever serves by now
+		_ = h.still.Process.Signal(syscall.SIGCONT)
+		h.still = nil
 	}
 }
 
--- a/internal/world/faults.go
+++ b/internal/world/faults.go
@@ -208,7 +208,7 @@
 	case "dispatcher_upgrade":
 		for k, d := range w.among(f) {
 			w.After(span*float64(k), func() {
-				if d.up {
+				if d.up && !d.frozen { // beside one that hangs a newer process shares its address: another trouble
 					w.port.Upgrade(d.n)
 				}
 			})
