Audit says what it knows of members that never said a version was in force

Need: evidence for each member. One without a line of its own under a version stands with 'its lease was over' where the fence is complete, else 'nothing is known'.

--- a/internal/fleet/audit.go
+++ b/internal/fleet/audit.go
@@ -78,6 +78,7 @@
 			x.Complete, x.Waits = b.Fence(now, unix, v.Number, s)
 		}
 		for _, m := range s.Members() {
+			said := len(x.Lines)
 			for _, run := range b.runs[m.Name] {
 				for _, acts := range run.Versions {
 					switch last := acts.Last(); {
@@ -88,6 +89,13 @@
 					}
 				}
 			}
+			if len(x.Lines) == said && v.Number > 0 { // it never said that this was in force there
+				l := Line{Member: m.Name, Acts: Acts{Version: v.Number}, Evidence: Nothing}
+				if x.Complete > 0 {
+					l.Evidence = LeaseOver
+				}
+				x.Lines = append(x.Lines, l)
+			}
 		}
 		a.Versions = append(a.Versions, x)
 	}
