--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -208,18 +208,16 @@
 // Arrived takes a new work item.
 func (d *Dispatcher) Arrived(wi WorkItem) {
 	it := &item{WorkItem: wi, cat: &d.f.categories[wi.Category], expiry: d.now + wi.Left}
-	if wi.Hint > 0 {
-		if d.sampled == 0 { // the first: what was learned rests on guesses
-			for k := range d.kinds {
-				d.kinds[k].known, d.kinds[k].answers = false, 0
-			}
-		}
-		remember(&d.sample, &d.sampled, wi.Hint)
+	if it.Hint, it.guessed = wi.Hint, wi.Hint <= 0; it.guessed {
+		it.Hint = d.guess(wi.Category)
+	} else if !d.hinted {
+		d.unlearn()
+	}
+	if it.guessed != d.hinted {
+		remember(&d.sample, &d.sampled, it.Hint)
 		if d.sampled&(d.sampled-1) == 0 { // early on, reset as the sample doubles
 			d.resetAt = d.now
 		}
-	} else if it.Hint, it.guessed = d.median, true; it.Hint == 0 {
-		it.Hint = it.cat.Due / 2 // nothing is known of size: room is left, or any retry would seem too late
 	}
 	if d.f.keyed && wi.Key != "" {
 		it.key = hash(wi.Key)
@@ -356,7 +354,8 @@
 		} else if h.started < 0 {
 			return
 		}
-		if it.guessed && d.sampled > 0 { // others have hints: short work without one makes its kind look fast
+		if it.guessed { // where others have hints, short work without one would make its kind look fast
+			d.teach(it, w, max(run, d.f.twoGrains/4)*d.warmth(w))
 			return
 		}
 		if d.f.keyed { // as speed, what a fetch adds would have small work come late
--- /dev/null
+++ b/internal/dispatch/hintless_test.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import "testing"
+
+// TestCategoryCosts: where nobody gives hints, work that takes far longer than its due time is not taken to be late: its
+// category's cost is learned, and what it may take grows with it. Each category has its own.
+func TestCategoryCosts(t *testing.T) {
+	s := plain()
+	s.Categories = []Category{{Due: 100, Stretch: 2.5, Expiry: 5000, Credit: 5, Kind: -1},
+		{Due: 600, Stretch: 2, Expiry: 8000, Credit: 5, Kind: -1}}
+	tr := start(t, s)
+	tr.up("f1", "f2", "s1")
+	takes := [2]float64{365, 90}
+	var took, expected [2]float64 // of the last of each
+	for id := uint64(1); id <= 60; id++ {
+		c := int(id % 2)
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Category: c, Tenant: -1, Left: 5000}) })
+		it := tr.d.items[id]
+		if it == nil || len(it.hos) == 0 {
+			t.Fatalf("work item %d of category %d was given up, with every worker free", id, c)
+		}
+		run := takes[c]
+		if it.hos[0].w.Kind == 1 {
+			run *= 1.5
+		}
+		took[c], expected[c] = run, tr.d.cost(it, it.hos[0].w)
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+		tr.at(tr.now+run, func(d *Dispatcher) { tr.end(id, 0, Finished) })
+	}
+	for c, want := range took {
+		if got := expected[c]; got < want*0.8 || got > want*1.25 {
+			t.Errorf("category %d is expected to take %.0f, and takes %.0f", c, got, want)
+		}
+	}
+}
+
+// TestCostFades: work that was once far too long for its time is tried again: else nothing could tell otherwise.
+func TestCostFades(t *testing.T) {
+	s := plain()
+	s.Categories[0] = Category{Due: 100, Expiry: 5000, Credit: 1, Kind: -1}
+	tr := start(t, s)
+	tr.up("f1")
+	tr.run(1, 0, 0, 900)
+	tr.arrive(2, 0, 0)
+	if it := tr.d.items[2]; it != nil && len(it.hos) > 0 {
+		t.Fatal("what is sure to come late was handed off")
+	}
+	tr.at(tr.now+40000, func(*Dispatcher) {})
+	tr.arrive(3, 0, 0)
+	if it := tr.d.items[3]; it == nil || len(it.hos) == 0 {
+		t.Error("it is not tried again")
+	}
+}
+
+// TestFirstHint: with the first hint, what was learned without any is given up.
+func TestFirstHint(t *testing.T) {
+	tr := start(t, plain())
+	tr.up("f1")
+	for id := uint64(1); id < 10; id++ {
+		tr.run(id, 0, 0, 700)
+	}
+	tr.run(10, 0, 100, 100)
+	if d := tr.d; !d.hinted || d.guess(0) != 100 || d.sampled != 1 {
+		t.Errorf("hinted %v, guess %.0f, %d hints", d.hinted, d.guess(0), d.sampled)
+	}
+}
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -22,6 +22,8 @@
 	Keys     []uint64 // hashed
 	Keyed    int
 	Silent   float64
+	Hinted   bool          // some work item had a hint
+	Costs    []LearnedCost // of each category, where none had
 	Arrivals []Ring
 	Heards   Ring
 	Tolds    Ring
@@ -47,6 +49,12 @@
 	Size    float64
 }
 
+// LearnedCost is what a category's work was seen to cost.
+type LearnedCost struct {
+	Answers       int
+	Log, Mean, At float64
+}
+
 // LearnedRoom is what was learned of how many work items run at once.
 type LearnedRoom struct {
 	Fit               []float64
@@ -96,11 +104,14 @@
 // Learned tells what this dispatcher knows, its own hand-offs as leases until they should have ended.
 func (d *Dispatcher) Learned() Learned {
 	l := Learned{Sample: slices.Clone(d.sample), Sampled: d.sampled, Most: slices.Clone(d.most), Leak: d.leak, LeakAt: d.leakAt,
-		Heard: finite(d.heard), Tellings: d.tellings, Keys: slices.Clone(d.keys), Keyed: d.keyed, Silent: d.silent,
+		Heard: finite(d.heard), Tellings: d.tellings, Keys: slices.Clone(d.keys), Keyed: d.keyed, Silent: d.silent, Hinted: d.hinted,
 		Heards: d.heards.learned(), Tolds: d.tolds.learned()}
 	for k := range d.arrivals {
 		l.Arrivals = append(l.Arrivals, d.arrivals[k].learned())
 	}
+	for _, c := range d.costs {
+		l.Costs = append(l.Costs, LearnedCost{c.answers, c.log, c.mean, c.at})
+	}
 	for k := range d.kinds {
 		kd := &d.kinds[k]
 		lk := LearnedKind{Slow: kd.slow, Known: kd.known, Answers: kd.answers, Queue: kd.queue, QueueAt: kd.queueAt,
@@ -145,7 +156,11 @@
 	if d.keys, d.keyed = append(d.keys[:0], l.Keys[:min(len(l.Keys), sampleSize)]...), l.Keyed; len(d.keys) < sampleSize {
 		d.keyed = len(d.keys)
 	}
-	d.silent = l.Silent
+	d.silent, d.hinted = l.Silent, l.Hinted
+	for k := range min(len(l.Costs), len(d.costs)) {
+		c := l.Costs[k]
+		d.costs[k] = cost{c.Answers, c.Log, c.Mean, c.At}
+	}
 	copy(d.most, l.Most)
 	d.leak, d.leakAt, d.tellings = l.Leak, l.LeakAt, l.Tellings
 	if l.Heard > 0 {
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -123,6 +123,14 @@
 
 func (k *kind) slots() int { return max(1+k.room[seen].most, 1+k.room[unseen].most, k.free) }
 
+// A cost is what a category's work was seen to cost where nobody gives a hint.
+type cost struct {
+	answers int
+	log     float64 // of its running time at a worker as fast as most, smoothed
+	mean    float64 // of the same, which is more where few take long
+	at      float64 // time of the last answer
+}
+
 // A home holds the workers that a key is dealt to, and among how many of each lane is drawn.
 type home struct {
 	workers []*worker
@@ -228,6 +236,8 @@
 	sample    []float64 // hints, a ring
 	keys      []uint64  // of the last work items, a ring
 	homes     map[uint64]*home
+	costs     []cost // of each category
+	hinted    bool   // some work item had a hint
 	keyed     int
 	sampled   int
 	sight     int // are siblings seen?
@@ -273,7 +283,7 @@
 	f := derive(s)
 	d := &Dispatcher{f: f, askGap: f.askFirst, byID: map[string]*worker{}, items: map[uint64]*item{},
 		resetAt: -1, shares: f.parts, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1),
-		most:  make([]float64, len(s.Categories)),
+		most: make([]float64, len(s.Categories)), costs: make([]cost, len(s.Categories)),
 		homes: map[uint64]*home{}, arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
 		asked: -1, heard: math.Inf(-1)}
 	for range 8 {
@@ -293,6 +303,15 @@
 	}
 }
 
+// End has what is open answered within the time: the process ends then. What cannot end by then is given up at once.
+func (d *Dispatcher) End(within float64) {
+	for _, it := range d.open {
+		it.expiry = min(it.expiry, d.now+within)
+		it.until, it.seen = min(it.until, it.expiry), false
+	}
+	d.stirred = true
+}
+
 // load is what is known to be at a worker: own hand-offs and those that siblings told of.
 func (d *Dispatcher) load(w *worker) int {
 	w.theirs = slices.DeleteFunc(w.theirs, func(l lease) bool { return d.now >= l.till })
@@ -366,6 +385,52 @@
 // suspected: it failed work, so it is drawn last for now.
 func (d *Dispatcher) suspected(w *worker) bool { return d.now < w.suspectTill }
 
+// guess stands in for the hint of a work item that has none: the middle of those that others have; where nobody has one,
+// what its category's answers cost, faded back to half its due time, so that too high a guess keeps nothing out for good.
+func (d *Dispatcher) guess(category int) float64 {
+	half, c := max(d.f.categories[category].Due/2, 1), &d.costs[category]
+	switch {
+	case d.hinted && d.median > 0:
+		return d.median
+	case c.answers == 0:
+		return half
+	}
+	return half * math.Pow(c.mean/half, math.Exp((c.at-d.now)/fadesIn))
+}
+
+// unlearn is called with the first hint: what was learned before rests on guesses.
+func (d *Dispatcher) unlearn() {
+	for k := range d.kinds {
+		d.kinds[k].known, d.kinds[k].answers = false, 0
+	}
+	clear(d.costs)
+	d.hinted, d.sample, d.sampled, d.median = true, d.sample[:0], 0, 0
+}
+
+// teach learns from the running time, as if warm, of a work item without a hint: what its category costs, and how fast the
+// kind and the worker are beside others. Guesses have no scale of their own, so a kind counts as fast as most at first.
+func (d *Dispatcher) teach(it *item, w *worker, run float64) {
+	if d.hinted {
+		return
+	}
+	k, c := &d.kinds[w.Kind], &d.costs[it.Category]
+	if !k.known {
+		k.slow, k.known = 0, true
+	}
+	k.answers++
+	c.answers++
+	pace := max(1/float64(c.answers), kindPace)
+	if c.answers == 1 {
+		c.log = math.Log(run) - k.slow
+	}
+	x := math.Log(run) - k.slow - c.log // beside what was expected
+	w.slow, w.slowAt = d.slowness(w)*(1-workerPace)+x*workerPace, d.now
+	k.slow += x * kindPace * math.Floor(d.warmth(w)) // cold ones tell nothing of their kind
+	c.log += x * pace
+	c.mean += (run*math.Exp(-k.slow) - c.mean) * pace
+	c.at = d.now
+}
+
 // grace is how long a start notice may take from a worker with room.
 func (d *Dispatcher) grace(w *worker) float64 { return 2*min(w.minGap, d.beat) + d.f.twoGrains }
 
