--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -38,6 +38,8 @@
 	// read within it as well. It must be there whole within the longest expiry.
 	readWithin = 2 * time.Second
 	lateLook   = 5 * time.Millisecond // once that is over, one more look for what lies there unread
+	aheadMost  = headMost + bodyMost  // of what a client says ahead of an answer: a request
+	aheadPiece = 4 << 10
 )
 
 type clients struct {
@@ -231,6 +233,23 @@
 	}
 }
 
+// owe has the client's answer come by the channel. Until then, and while its connection stands, the work item may be sent.
+func (c *clientConn) owe(client *node.Client) <-chan node.Reply {
+	reply, answered := make(chan node.Reply, 1), new(atomic.Bool)
+	client.Answer = func(r node.Reply) {
+		answered.Store(true)
+		reply <- r
+	}
+	client.Message.(*message).owed = func() bool {
+		_, left := c.peek()
+		return !left && !answered.Load()
+	}
+	return reply
+}
+
+// logLeft tells of a work item whose client left before it was sent, and where it stood.
+func logLeft(id, at string) { slog.Info("left", "left", at, "id", id) }
+
 // submit hands a work item to the node and waits for its answer.
 func (c *clients) submit(ctx *fasthttp.RequestCtx, path []byte) {
 	client, status, err := c.decode(&ctx.Request, path)
@@ -239,11 +258,14 @@
 		return
 	}
 	conn := ctx.Conn().(*clientConn)
-	reply := make(chan node.Reply, 1)
-	client.Answer = func(r node.Reply) { reply <- r }
+	reply := conn.owe(client)
 	c.figures.Taken()
 	r := node.Reply{Result: node.Deferred}
-	if c.node.Queue(node.Arrived{Client: client}) {
+	switch _, left := conn.peek(); {
+	case left: // the request lay unread meanwhile
+		logLeft(client.ID, "unread")
+		r.Result = node.Gone
+	case c.node.Queue(node.Arrived{Client: client}):
 		conn.watch(func() { c.node.Queue(node.Departed{Client: client}) })
 		select {
 		case r = <-reply:
@@ -261,7 +283,7 @@
 		return
 	}
 	encode(ctx, r)
-	if r.Result == node.Deferred && c.leaving.Load() {
+	if conn.spilt || r.Result == node.Deferred && c.leaving.Load() {
 		ctx.SetConnectionClose()
 	}
 	c.count(client.Category, r.Result)
--- /dev/null
+++ b/internal/platform/endings_test.go
@@ -0,0 +1,454 @@
+package platform
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"weldmast/internal/dispatch"
+	"weldmast/internal/node"
+	"weldmast/internal/settings"
+)
+
+// These tests force what ends something to cross what is still owed, both orders where there are two. What holds a byte,
+// an accept, an answer or a list is let go by the test: no order rests on a sleep.
+
+const soon = 10 * time.Second // for what must come
+
+// rig is a platform with its node, a discovery that tells what the test writes, and no process of its own.
+type rig struct {
+	t     *testing.T
+	n     *node.Node
+	p     *Platform
+	disc  net.Listener
+	lists chan net.Conn // each watch, its request read
+	spy   spy
+}
+
+// spy is a dispatcher that keeps what it was told.
+type spy struct {
+	dispatch.Decider
+	in      dispatch.Inbox
+	mu      sync.Mutex
+	arrived int
+	states  map[string]dispatch.State // of workers, as told last
+	lists   int
+}
+
+func (s *spy) arrivals() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.arrived
+}
+
+func (s *spy) Round(now float64, in dispatch.Inbox, out dispatch.Writer) {
+	s.in = in
+	s.Decider.Round(now, s, out)
+}
+
+func (s *spy) Deliver(to dispatch.Receiver) { s.in.Deliver(&heard{to, s}) }
+
+type heard struct {
+	dispatch.Receiver
+	s *spy
+}
+
+func (h *heard) Arrived(wi dispatch.WorkItem) {
+	h.s.mu.Lock()
+	h.s.arrived++
+	h.s.mu.Unlock()
+	h.Receiver.Arrived(wi)
+}
+
+func (h *heard) Listed(form dispatch.Form, entries []dispatch.Entry) {
+	h.s.mu.Lock()
+	h.s.lists++
+	if h.s.states == nil || form == dispatch.Complete {
+		h.s.states = map[string]dispatch.State{}
+	}
+	for _, e := range entries {
+		h.s.states[e.Worker] = e.State
+	}
+	h.s.mu.Unlock()
+	h.Receiver.Listed(form, entries)
+}
+
+func options() (Options, node.Options) {
+	s := dispatch.Settings{Seed: 1 << 40, Grain: 5, Siblings: 1, Kinds: 1, TellsStart: true, MayCancel: true, SecondCopies: true,
+		MaxHandOffs: 3, AnswerSlack: 20, AskWithin: 10000, StartShare: 0.1, Cold: 1000, FallMultiple: 3, Fall: 100,
+		Categories: []dispatch.Category{{Due: 4000, Expiry: 5000, Credit: 1, Kind: -1},
+			{Due: 4000, Expiry: 5000, Credit: 1, Kind: -1, Repeat: dispatch.Exclusive}}}
+	return Options{Listen: netip.MustParseAddrPort("127.0.0.1:0"), Names: settings.Names{Categories: []string{"plan", "order"}},
+			Links: settings.Links{Idle: 15000, Connect: 5000}, Expiries: []float64{5000, 5000}, Copies: true, Sockets: 400},
+		node.Options{Settings: s, MaxOpen: 100}
+}
+
+func newRig(t *testing.T, change func(*Options, *node.Options)) *rig {
+	t.Parallel() // a stop takes its time
+	r := &rig{t: t, lists: make(chan net.Conn, 16)}
+	var err error
+	r.disc, err = net.Listen("tcp", "127.0.0.1:0")
+	r.must(err)
+	go func() {
+		for {
+			c, err := r.disc.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				r.lists <- c
+			}
+		}
+	}()
+	o, no := options()
+	no.Discovery = r.disc.Addr().String()
+	if change != nil {
+		change(&o, &no)
+	}
+	r.spy.Decider, no.Decider = dispatch.New(no.Settings), &r.spy
+	r.n = node.New(no)
+	r.p, err = Start(o, r.n)
+	r.must(err)
+	done := make(chan struct{})
+	go func() { r.n.Run(r.p); close(done) }()
+	t.Cleanup(func() {
+		r.n.Queue(node.Stop{})
+		r.disc.Close()
+		select {
+		case <-done:
+		case <-time.After(soon):
+			t.Error("the node did not stop")
+		}
+		r.p.Close()
+	})
+	return r
+}
+
+func (r *rig) must(err error) {
+	r.t.Helper()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func await[T any](t *testing.T, what string, c <-chan T) (x T) {
+	t.Helper()
+	select {
+	case x = <-c:
+	case <-time.After(soon):
+		t.Fatalf("%s did not come", what)
+	}
+	return x
+}
+
+func (r *rig) until(what string, is func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(soon); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatalf("%s did not come", what)
+		}
+	}
+}
+
+// tell answers a watch with lines, and leaves it open.
+func tell(c net.Conn, lines ...string) {
+	text := ""
+	for _, l := range lines {
+		text += fmt.Sprintf("%x\r\n%s\n\r\n", len(l)+1, l)
+	}
+	io.WriteString(c, text)
+}
+
+const watchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func listed(revision int, complete bool, members ...string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":%v,"members":[%s]}`, revision, complete, strings.Join(members, ","))
+}
+
+func entry(id, addr, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"phase":%q}`, id, addr, phase)
+}
+
+// serve has discovery name one worker and waits until the node serves.
+func (r *rig) serve(addr string) net.Conn {
+	r.t.Helper()
+	c := await(r.t, "a watch", r.lists)
+	r.t.Cleanup(func() { c.Close() })
+	io.WriteString(c, watchHead)
+	tell(c, listed(1, true, entry("w1", addr, "in_service")))
+	r.until("serving", func() bool { return r.n.Phase() == node.Serving })
+	return c
+}
+
+func (r *rig) dial() *net.TCPConn {
+	r.t.Helper()
+	c, err := net.Dial("tcp", r.p.clients.Addr().String())
+	r.must(err)
+	r.t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(soon))
+	return c.(*net.TCPConn)
+}
+
+func job(id, category string) string {
+	return "POST /" + category + "/x HTTP/1.1\r\nHost: x\r\nX-Request-Id: " + id + "\r\nX-Cost-Hint: 100000\r\nContent-Length: 4\r\n\r\nbody"
+}
+
+// status reads an answer.
+func status(c io.Reader) string {
+	a, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return "none"
+	}
+	io.Copy(io.Discard, a.Body)
+	return fmt.Sprint(a.StatusCode)
+}
+
+// worker is a stand-in whose answers wait for the test.
+type worker struct {
+	addr string
+	got  chan *got
+	mu   sync.Mutex
+	seen []string // ids in order, and DELETEs
+}
+
+type got struct {
+	id     string
+	conn   net.Conn
+	answer func(text string)
+}
+
+func newWorker(t *testing.T) *worker {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &worker{addr: l.Addr().String(), got: make(chan *got, 64)}
+	t.Cleanup(func() { l.Close() })
+	go w.accept(l)
+	return w
+}
+
+func (w *worker) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			in := bufio.NewReader(c)
+			for {
+				q, err := http.ReadRequest(in)
+				if err != nil {
+					return
+				}
+				io.Copy(io.Discard, q.Body)
+				w.mu.Lock()
+				if q.Method == "DELETE" {
+					w.seen = append(w.seen, "DELETE "+q.RequestURI[strings.LastIndexByte(q.RequestURI, '/')+1:])
+					w.mu.Unlock()
+					io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					continue
+				}
+				id := q.Header.Get("X-Request-Id")
+				w.seen = append(w.seen, id)
+				w.mu.Unlock()
+				w.got <- &got{id, c, func(text string) { io.WriteString(c, text) }}
+			}
+		}()
+	}
+}
+
+func (w *worker) saw(what string) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.seen {
+		if s == what {
+			return true
+		}
+	}
+	return false
+}
+
+const taken = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n"
+
+func (r *rig) done(id string) { r.back(id, "done") }
+
+func (r *rig) back(id, state string) {
+	r.t.Helper()
+	a, err := http.Post("http://"+r.p.clients.Addr().String()+"/callback", "application/json",
+		strings.NewReader(fmt.Sprintf(`{"id":%q,"from":"w1","state":%q}`, id, state)))
+	r.must(err)
+	a.Body.Close()
+	if a.StatusCode != http.StatusOK {
+		r.t.Errorf("callback %s of %s: %d", state, id, a.StatusCode)
+	}
+}
+
+// TestUnsent: the last look before the bytes. A connection came up for a work item whose client has left, by its end or by
+// a reset, or has its answer: nothing is written, and it ends as given up.
+func TestUnsent(t *testing.T) {
+	for _, how := range []string{"stays", "FIN", "RST", "answered", "closed here"} {
+		t.Run(how, func(t *testing.T) {
+			w := newWorker(t)
+			cc, client := pair(t)
+			o, no := options()
+			n := node.New(no)
+			ws := newWorkers(n, o)
+			ws.bound(10)
+			c := &node.Client{ID: "a", Message: &message{head: []byte("POST /plan/x HTTP/1.1\r\nX-Request-Id: a\r\nContent-Length: 0\r\n")}}
+			cc.owe(c)
+			left := true
+			switch how {
+			case "stays":
+				left = false
+			case "FIN":
+				client.CloseWrite()
+			case "RST":
+				client.SetLinger(0)
+				client.Close()
+			case "answered":
+				c.Answer(node.Reply{})
+			case "closed here":
+				cc.Close()
+			}
+			for end := time.Now().Add(soon); c.Message.(*message).owed() == left; time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatalf("owed is still %v", left)
+				}
+			}
+			ended := make(chan struct{})
+			a := ws.send(node.Sending{WI: 1, ID: "a", Addr: w.addr, Message: c.Message, Patience: 5000})
+			go func() { ws.running.Wait(); close(ended) }()
+			if !left {
+				await(t, "the request", w.got).answer(taken)
+			}
+			await(t, "its end", ended)
+			if a.(*attempt).written == left || w.saw("a") == left {
+				t.Errorf("left %v, written %v, seen by the worker %v", left, a.(*attempt).written, w.saw("a"))
+			}
+		})
+	}
+}
+
+// TestLeftUnread: a request lay unread, behind another one or behind nothing, while its client left: it never goes out. The
+// one before it is called off as soon as its client leaves, whatever was said ahead of its answer.
+func TestLeftUnread(t *testing.T) {
+	for _, ahead := range []string{"", "P", job("behind", "order"), strings.Repeat("x", 4*aheadMost)} {
+		t.Run(fmt.Sprintf("%d bytes ahead", len(ahead)), func(t *testing.T) {
+			w := newWorker(t)
+			r := newRig(t, nil)
+			r.serve(w.addr)
+			c := r.dial()
+			io.WriteString(c, job("first", "order"))
+			await(t, "the first", w.got).answer(taken)
+			r.back("first", "started")
+			io.WriteString(c, ahead)
+			c.Close()
+			r.until("DELETE of the first", func() bool { return w.saw("DELETE first") })
+			r.serves(w, "last")
+			if w.saw("behind") {
+				t.Error("the one behind was sent, whose client had left")
+			}
+		})
+	}
+	t.Run("not accepted yet", func(t *testing.T) {
+		w := newWorker(t)
+		r := newRig(t, nil)
+		r.serve(w.addr)
+		r.p.Pause()
+		for k := range 20 {
+			c := r.dial()
+			io.WriteString(c, job(fmt.Sprint("left-", k), "order"))
+			if k%2 > 0 {
+				c.SetLinger(0)
+			}
+			c.Close()
+		}
+		stays := r.dial()
+		io.WriteString(stays, job("stays", "order"))
+		r.p.Resume()
+		await(t, "the one that stays", w.got).answer(taken)
+		r.done("stays")
+		if got := status(stays); got != "200" {
+			t.Errorf("the one that stays got %s", got)
+		}
+		r.serves(w, "last")
+		if n := r.spy.arrivals(); n != 2 {
+			t.Errorf("%d work items arrived, 2 clients stayed", n)
+		}
+		for k := range 20 {
+			if id := fmt.Sprint("left-", k); w.saw(id) {
+				t.Errorf("%s was sent, whose client had left", id)
+			}
+		}
+	})
+}
+
+// TestTooMuchAhead: what is said ahead of an answer beyond one request is read and not kept; the answer comes and ends the
+// connection.
+func TestTooMuchAhead(t *testing.T) {
+	w := newWorker(t)
+	r := newRig(t, nil)
+	r.serve(w.addr)
+	c := r.dial()
+	io.WriteString(c, job("first", "order"))
+	await(t, "the first", w.got).answer(taken)
+	if _, err := io.WriteString(c, strings.Repeat("x", 64*aheadMost)); err != nil {
+		t.Fatal(err)
+	}
+	r.done("first")
+	in := bufio.NewReader(c)
+	if a, err := http.ReadResponse(in, nil); err != nil || a.StatusCode != 200 || !a.Close {
+		t.Errorf("the first got %v, %v", a, err)
+	}
+	for _, cc := range r.p.clients.all() {
+		if len(cc.ahead) > aheadMost {
+			t.Errorf("%d bytes are kept", len(cc.ahead))
+		}
+	}
+}
+
+// serves has one job done, by a client that stays.
+func (r *rig) serves(w *worker, id string) {
+	r.t.Helper()
+	c := r.dial()
+	io.WriteString(c, job(id, "order"))
+	if g := await(r.t, id, w.got); g.id != id {
+		r.t.Fatalf("%s came, wanted %s", g.id, id)
+	} else {
+		g.answer(taken)
+	}
+	r.done(id)
+	if got := status(c); got != "200" {
+		r.t.Errorf("%s got %s", id, got)
+	}
+}
+
+// pair is a connection that the listener has accepted, and its client's end.
+func pair(t *testing.T) (*clientConn, *net.TCPConn) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	mine, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { client.Close(); mine.Close() })
+	cc := &clientConn{Conn: mine, owner: &clients{conns: map[*clientConn]bool{}, sayMost: soon}}
+	cc.owner.conns[cc] = true
+	return cc, client.(*net.TCPConn)
+}
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -222,7 +222,8 @@
 	last    byte          // of what was read of the request line
 	line    bool          // the request line was read
 	odd     bool          // and does not end in CRLF
-	ahead   []byte        // what the watch read
+	ahead   []byte        // what was read beyond the request being served
+	spilt   bool          // and was too much to keep
 	watched chan struct{} // closed when the watch has ended
 	ending  atomic.Bool   // the watch is to end
 }
@@ -400,18 +401,10 @@
 	}
 }
 
-// pending tells whether bytes wait to be read. The lock is held.
+// pending tells whether bytes wait to be read.
 func (c *clientConn) pending() bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	n := 0
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	})
-	return err == nil && n > 0
+	waits, _ := c.peek()
+	return waits
 }
 
 // closeIdle closes the connection if no request is on it; a new one that had none yet only on demand, as
@@ -434,24 +427,53 @@
 	return c.Conn.Close()
 }
 
-// watch calls left when the client closes the connection. A byte that comes instead begins the next
-// request, and is kept for it.
+// watch calls left when the client closes the connection. Bytes that come instead begin its next request, and are kept
+// for that: a client that said more and then left has left all the same.
 func (c *clientConn) watch(left func()) {
 	c.watched = make(chan struct{})
 	c.ending.Store(false)
 	c.Conn.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(c.watched)
-		var b [1]byte
-		n, err := c.Conn.Read(b[:])
-		if n > 0 {
-			c.ahead = append(c.ahead, b[0])
-		} else if !(c.ending.Load() && errors.Is(err, os.ErrDeadlineExceeded)) {
-			left()
+		for b := make([]byte, 1); ; b = make([]byte, aheadPiece) { // nearly always nothing comes
+			n, err := c.Conn.Read(b)
+			if c.keep(b[:n]); n > 0 && err == nil {
+				continue
+			}
+			if !(c.ending.Load() && errors.Is(err, os.ErrDeadlineExceeded)) {
+				left()
+			}
+			return
 		}
 	}()
 }
 
+// keep holds what came ahead of the answer before it. This guards against clients that say more than one request ahead:
+// nothing of it is kept then, and the connection ends with the answer.
+func (c *clientConn) keep(p []byte) {
+	if c.ahead = append(c.ahead, p...); len(c.ahead) > aheadMost {
+		c.ahead, c.spilt = nil, true
+	}
+}
+
+// peek tells, without reading anything, whether bytes wait to be read, and whether the client has closed the connection with
+// none left before its end. This guards against work that is sent for a client that has left, where the watch has not run yet.
+func (c *clientConn) peek() (waits, left bool) {
+	left = !c.socket(func(fd int) {
+		var b [1]byte
+		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		waits = n > 0
+		left = n <= 0 && (err == nil || !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR))
+	}) || left
+	return waits, left
+}
+
+// socket lets use have the connection's descriptor; false: it is closed.
+func (c *clientConn) socket(use func(fd int)) bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	return err == nil && raw.Control(func(fd uintptr) { use(int(fd)) }) == nil
+}
+
 func (c *clientConn) unwatch() {
 	c.ending.Store(true)
 	c.Conn.SetReadDeadline(time.Unix(1, 0))
--- a/internal/platform/takeover.go
+++ b/internal/platform/takeover.go
@@ -174,11 +174,12 @@
 	Job        node.Job
 	Head, Body []byte
 	Ahead      []byte // of the client's next request
+	Spilt      bool   // which was too much to keep
 }
 
 // hand gives a job away. Where that fails its client is answered as for one that may have run.
 func (p *Platform) hand(conn *clientConn, j *node.Job, m *message) bool {
-	text, err := json.Marshal(goods{*j, m.head, m.body, conn.ahead})
+	text, err := json.Marshal(goods{*j, m.head, m.body, conn.ahead, conn.spilt})
 	if err == nil {
 		err = p.o.Exchange.Hand(conn.Conn.(syscall.Conn), text)
 	}
@@ -197,18 +198,17 @@
 		return
 	}
 	// Queued here, so that the node has it before it hears that the older process has ended.
-	cc := &clientConn{Conn: conn, owner: p.clients, since: time.Now(), begun: true, serving: true, proven: true, ahead: g.Ahead}
+	cc := &clientConn{Conn: conn, owner: p.clients, since: time.Now(), begun: true, serving: true, proven: true, ahead: g.Ahead, spilt: g.Spilt}
 	client := &node.Client{ID: g.Job.ID, Category: g.Job.Category, Tenant: g.Job.Tenant, Hint: g.Job.Hint,
-		Key: g.Job.Key, Expiry: g.Job.Expiry, Message: &message{g.Head, g.Body}}
-	reply := make(chan node.Reply, 1)
-	client.Answer = func(r node.Reply) { reply <- r }
+		Key: g.Job.Key, Expiry: g.Job.Expiry, Message: &message{head: g.Head, body: g.Body}}
+	reply := cc.owe(client)
 	p.clients.figures.Taken()
 	p.node.Queue(node.Adopted{Client: client, Job: g.Job})
 	go p.clients.finish(cc, client, reply)
 }
 
 // finish answers an adopted job and goes on with its connection.
-func (c *clients) finish(cc *clientConn, client *node.Client, reply chan node.Reply) {
+func (c *clients) finish(cc *clientConn, client *node.Client, reply <-chan node.Reply) {
 	c.register(cc)
 	r := node.Reply{Result: node.WrittenOff}
 	cc.watch(func() { c.node.Queue(node.Departed{Client: client}) })
@@ -231,7 +231,7 @@
 	if err == nil {
 		err = out.Flush()
 	}
-	if err != nil || ctx.Response.ConnectionClose() || c.draining.Load() {
+	if err != nil || ctx.Response.ConnectionClose() || cc.spilt || c.draining.Load() {
 		cc.Close()
 		return
 	}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -36,6 +36,7 @@
 type message struct {
 	head []byte
 	body []byte
+	owed func() bool // its client waits for the answer
 }
 
 // hop are the headers of the client's connection, or those that each hand-off sets.
@@ -335,7 +336,16 @@
 		a.end(dispatch.ConnectFailed, errShut)
 		return
 	}
-	text := a.s.Message.(*message).encode(a.s.Addr, a.s.Patience, a.s.Mark)
+	// The same for its client: it may have left, or have its answer, while the connection came up, and the giving up may be
+	// on its way, or not allowed.
+	m := a.s.Message.(*message)
+	if !m.owed() {
+		logLeft(a.s.ID, "unsent")
+		a.release(conn, nil, true)
+		a.end(dispatch.Cancelled, nil)
+		return
+	}
+	text := m.encode(a.s.Addr, a.s.Patience, a.s.Mark)
 	if n, err := conn.Write(text); n < len(text) {
 		a.release(conn, err, false)
 		a.end(dispatch.ConnectFailed, err)
