--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -452,3 +452,30 @@
 	cc.owner.conns[cc] = true
 	return cc, client.(*net.TCPConn)
 }
+
+// TestCloseUnread: a connection that is closed for want of a request, at the stop or to make room, is left alone when one
+// has come and was not read yet: its client has sent it.
+func TestCloseUnread(t *testing.T) {
+	for _, used := range []bool{true, false} {
+		for _, says := range []bool{true, false} {
+			cc, client := pair(t)
+			cc.used = used
+			if says {
+				io.WriteString(client, "POST /plan")
+				for !cc.pending() {
+					time.Sleep(time.Millisecond)
+				}
+			}
+			if none := cc.closeIdle(true); none == says || cc.closing == says {
+				t.Errorf("used %v, says something %v: closed %v, without a request %v", used, says, cc.closing, none)
+			}
+			if !says {
+				continue
+			}
+			b := make([]byte, 16)
+			if n, err := cc.Read(b); err != nil || string(b[:n]) != "POST /plan" {
+				t.Errorf("used %v: what came reads as %q, %v", used, b[:n], err)
+			}
+		}
+	}
+}
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -408,10 +408,14 @@
 }
 
 // closeIdle closes the connection if no request is on it; a new one that had none yet only on demand, as
-// its first request is on the way. It tells whether none is.
+// its first request is on the way. It tells whether none is. What has come and was not read yet is a request: its client
+// has sent it and is owed an answer.
 func (c *clientConn) closeIdle(unused bool) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !c.begun && !c.closing && (c.used || unused) && c.pending() {
+		c.moved()
+	}
 	if !c.begun && (c.used || unused) {
 		c.closing = true
 		c.Close()
