--- /dev/null
+++ b/internal/node/endings_test.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"weldmast/internal/dispatch"
+	"weldmast/internal/kept"
+)
+
+// TestStopAnswersAll: told to stop, all that was taken before is answered before the kill, however long its client would
+// wait: what is still open then is lost. Exclusive work that runs, work that may run again, work that waits for a worker,
+// work not taken by its worker.
+func TestStopAnswersAll(t *testing.T) {
+	s := beginWith(false, long, member("w1", dispatch.Up))
+	for k, id := range []string{"runs", "runs again", "waits", "not taken"} {
+		s.at(1010+10*float64(k), s.client(id, []int{1, 0, 1, 1}[k], 15000))
+		if id == "runs" || id == "runs again" {
+			s.at(s.now+1, Callback{ID: id, From: "w1", State: Started})
+		}
+	}
+	s.at(1100, Stop{})
+	kill := 1100 + min(s.usedFor, killCap) + killGrace
+	s.at(kill)
+	for id := range s.clients {
+		t.Errorf("%q has no answer when the process is killed", id)
+	}
+	if s.Phase() != Stopped {
+		t.Errorf("phase %s at the kill", s.Phase())
+	}
+	if t.Failed() {
+		t.Log(s.log.String())
+	}
+	for c, more := range s.replies {
+		if len(more) > 0 {
+			t.Errorf("%s is answered again: %v", c.ID, more)
+		}
+	}
+}
+
+// long has categories that wait far longer than the process has when it is told to stop.
+func long(s *dispatch.Settings) {
+	for k := range s.Categories {
+		s.Categories[k].Due, s.Categories[k].Expiry = 15000, 15000
+	}
+}
+
+// TestStopGivesUpAtOnce: what cannot end before the process does is given up when it is told to stop, not at its end.
+func TestStopGivesUpAtOnce(t *testing.T) {
+	s := beginWith(false, long, member("w1", dispatch.Up))
+	s.at(1010, s.client("busy", 1, 15000)) // not started: nothing more goes there
+	a := s.client("a", 1, 15000)
+	a.Client.Hint = 6000
+	s.at(1020, a)
+	if s.at(1100, Stop{}); len(s.replies[a.Client]) > 0 || s.clients["busy"] == nil {
+		t.Error("both are to wait until the process is told to stop")
+	}
+	s.at(1110)
+	if s.clients["a"] != nil {
+		t.Errorf("work that takes 6 s is still held, and the process has 3.5 s:\n%s", s.log.String())
+	}
+}
+
+// TestCrossings: what ends something and what is owed meet, in both orders and within one round. Each client gets one answer
+// at most, whatever comes after it.
+func TestCrossings(t *testing.T) {
+	type values = []any
+	done := Callback{ID: "a", From: "w1", State: Done, Result: "r"}
+	var all strings.Builder
+	play := func(name string, in func(a *Client) values) {
+		for _, order := range []string{"in order", "the other way", "in order, one round", "the other way, one round"} {
+			s := begin(false, member("w1", dispatch.Up))
+			s.at(1010, Listing{Watch: 1, Revision: 5})
+			a := s.client("a", 1, 900)
+			s.at(1020, a)
+			two := in(a.Client)
+			if strings.HasPrefix(order, "the other") {
+				slices.Reverse(two)
+			}
+			if strings.HasSuffix(order, "one round") {
+				s.at(1030, two...)
+			} else {
+				s.at(1030, two[0])
+				s.at(1040, two[1])
+			}
+			s.at(2200)
+			for c, more := range s.replies {
+				if len(more) > 0 {
+					t.Errorf("%s, %s: %s is answered again: %v", name, order, c.ID, more)
+				}
+			}
+			fmt.Fprintf(&all, "%s: %s\n%s", name, order, s.log.String())
+		}
+	}
+	play("done and the client leaves", func(a *Client) values { return values{done, Departed{a}} })
+	play("the connection breaks and the client leaves", func(a *Client) values {
+		return values{Ended{1, 0, dispatch.ConnectFailed}, Departed{a}}
+	})
+	play("done and told to stop", func(*Client) values { return values{done, Stop{}} })
+	play("told to stop and the client leaves", func(a *Client) values { return values{Stop{}, Departed{a}} })
+	play("done and the connection breaks", func(*Client) values { return values{done, Ended{1, 0, dispatch.Reset}} })
+	play("returned and its worker drains", func(*Client) values {
+		return values{Callback{ID: "a", From: "w1", State: Returned},
+			Listing{Watch: 1, Revision: 6, Members: []Member{member("w1", dispatch.Draining), member("w2", dispatch.Up)}}}
+	})
+	play("discovery moves and its old watch tells", func(*Client) values {
+		return values{Moved{"there"}, Listing{Watch: 1, Revision: 6, Members: []Member{member("w1", dispatch.Draining)}}}
+	})
+	play("a watch breaks and discovery moves", func(*Client) values { return values{Broken{1}, Moved{"there"}} })
+	play("told to stop and discovery moves", func(*Client) values { return values{Stop{}, Moved{"there"}} })
+	kept.Check(t, "crossings", all.String())
+}
+
+// TestStopBeforeReady: told to stop before any list came, twice, during a move of discovery: what was taken is answered.
+func TestStopBeforeReady(t *testing.T) {
+	s := begin(false)
+	s.at(1010, s.client("a", 1, 2000), Moved{"there"}, Stop{}, Stop{}, Moved{"elsewhere"})
+	s.at(1020, s.client("b", 1, 2000))
+	s.at(1000 + 2000 + killGrace)
+	if len(s.clients) > 0 || s.Phase() != Stopped {
+		t.Errorf("%d wait, phase %s:\n%s", len(s.clients), s.Phase(), s.log.String())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -673,6 +673,8 @@
 	if !n.front.Drain(n.known) { // else it goes on while what is taken has time to end: there may be nobody else
 		n.lastTake, n.handAt = n.drainAt+max(acceptAfter, last/2), math.Inf(1)
 	}
+	// What was taken before has to be answered by then as well: what is open at the kill is lost.
+	n.inbox = append(n.inbox, ending(n.endAt))
 }
 
 func (n *Node) arrived(c *Client) {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -88,14 +88,21 @@
 	return Member{Entry: dispatch.Entry{Worker: worker, State: state}, Addr: "at-" + worker}
 }
 
-func begin(ask bool, members ...Member) *script {
+func begin(ask bool, members ...Member) *script { return beginWith(ask, nil, members...) }
+
+// beginWith is the same with other settings.
+func beginWith(ask bool, change func(*dispatch.Settings), members ...Member) *script {
 	s := &script{clients: map[string]*Client{}, replies: map[*Client][]Reply{}}
-	s.Node = New(Options{Settings: dispatch.Settings{Seed: 1 << 40, Grain: 5, Siblings: 1, Kinds: 1, TellsStart: true, MustAsk: ask,
+	o := Options{Settings: dispatch.Settings{Seed: 1 << 40, Grain: 5, Siblings: 1, Kinds: 1, TellsStart: true, MustAsk: ask,
 		MayCancel: true, SecondCopies: true, MaxHandOffs: 3, AnswerSlack: 20, AskWithin: 10000, StartShare: 0.1,
 		Cold: 1000, FallMultiple: 3, Fall: 100, MayPause: true, MaxPause: 2000, Categories: []dispatch.Category{
 			{Due: 1000, Expiry: 2000, Credit: 1, Kind: -1},
 			{Due: 1000, Expiry: 2000, Credit: 1, Kind: -1, Repeat: dispatch.Exclusive}}},
-		MaxOpen: 10, Discovery: "here", Known: Listing{Revision: 4, Members: members}})
+		MaxOpen: 10, Discovery: "here", Known: Listing{Revision: 4, Members: members}}
+	if change != nil {
+		change(&o.Settings)
+	}
+	s.Node = New(o)
 	s.front, s.now, s.startAt = s, 1000, 1000
 	if !ask {
 		s.ask()
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -12,6 +12,7 @@
 type (
 	left    uint64
 	shutOut uint64
+	ending  float64 // all that is open must be answered by then
 	noticed struct {
 		wi    uint64
 		ho    int
@@ -52,6 +53,10 @@
 			if to, ok := d.(interface{ GiveUp(uint64) }); ok {
 				to.GiveUp(uint64(v))
 			}
+		case ending:
+			if to, ok := d.(interface{ End(within float64) }); ok {
+				to.End(max(float64(v)-n.now, 0))
+			}
 		case dispatch.Answer:
 			d.Answered(v)
 		case noticed:
