--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -28,6 +28,7 @@
 	MaxHandOffs  int
 	AnswerSlack  float64
 	AskWithin    float64
+	DrainGrace   float64 // after this time nothing may be sent to a worker told to drain; 0: not said
 	OnlyDraining bool    // a worker that is called gone, or left out, is not bound by that
 	StartShare   float64 // least part of its capacity with which a worker starts
 	Cold         float64 // it is warm after this time at the latest
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -143,3 +144,44 @@
 		t.Errorf("%d wait, phase %s:\n%s", len(s.clients), s.Phase(), s.log.String())
 	}
 }
+
+// TestOlderList: an older line after a newer one puts nothing back into use; its drains hold, and the whole list is asked for.
+func TestOlderList(t *testing.T) {
+	s := begin(false, member("w1", dispatch.Up))
+	s.at(1010, Listing{Watch: 1, Revision: 7, Complete: true, Members: []Member{member("w1", dispatch.Up), member("w2", dispatch.Up)}})
+	s.at(1020, Listing{Watch: 1, Revision: 9, Members: []Member{member("w1", dispatch.Draining)}})
+	s.at(1030, Listing{Watch: 1, Revision: 8, Members: []Member{member("w1", dispatch.Up), member("w2", dispatch.Draining)}})
+	if !strings.Contains(s.log.String(), "watch 2 at here after -1") {
+		t.Error("the whole list is not asked for")
+	}
+	for k := range 4 {
+		s.at(1040+10*float64(k), s.client(fmt.Sprint(k), 1, 500))
+	}
+	if strings.Contains(s.log.String(), "send") {
+		t.Errorf("work went to one that drains:\n%s", s.log.String())
+	}
+	s.at(1090, Listing{Watch: 2, Revision: 9, Complete: true, Members: []Member{member("w1", dispatch.Draining), member("w2", dispatch.Up)}})
+	if !strings.Contains(s.log.String(), "to at-w2") {
+		t.Errorf("nothing goes to the one that the whole list names:\n%s", s.log.String())
+	}
+}
+
+// TestWatchGap: a drain may be told while no watch is open: what lies between two tries is a part of the time to heed it.
+func TestWatchGap(t *testing.T) {
+	for _, grace := range []float64{0, 250, 500, 2500} {
+		least, most := math.Inf(1), 0.0
+		for seed := range uint64(50) {
+			s := begin(false, member("w1", dispatch.Up))
+			s.s.DrainGrace, s.mwc = grace, (seed+1)*0x9e3779b97f4a7c15|1
+			s.at(1010, Broken{1})
+			least, most = min(least, s.watchAt-s.now), max(most, s.watchAt-s.now)
+		}
+		want := 750.0
+		if grace > 0 {
+			want = min(want, grace*1.5/gracePart)
+		}
+		if most > want || most-least < want/3 {
+			t.Errorf("grace %.0f: between %.0f and %.0f ms, wanted up to %.0f, drawn", grace, least, most, want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -46,7 +46,8 @@
 	fullPause   = 1000 // with as much open as may be, a client is told to come back after this time
 	gateEvery   = 10   // the gate is looked at so often while there is work
 	poolEvery   = 100  // the figures of the workers are at most so old, and a round
-	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once
+	watchGap    = 500  // mean time before discovery is asked again; drawn, so that not all ask at once,
+	gracePart   = 4    // and no longer than this part of the time within which a drain must be heeded: it may be told meanwhile
 	queueSize   = 4096 // values that wait for the reducer
 	usedMost    = 8192 // ids of answered work items that are remembered, twice so many at most
 )
@@ -592,7 +593,11 @@
 			n.inbox = append(n.inbox, listed{dispatch.Unavailable, nil})
 			return
 		}
-		n.watchAt = n.now + watchGap*(0.5+n.chance())
+		gap := float64(watchGap)
+		if n.s.DrainGrace > 0 {
+			gap = min(gap, n.s.DrainGrace/gracePart)
+		}
+		n.watchAt = n.now + gap*(0.5+n.chance())
 	case Moved:
 		// What the old address told stays in use until the new one has given its whole list: it may count
 		// revisions its own way. The same address is asked anew as well.
@@ -921,6 +926,13 @@
 			clear(n.addrs)
 		}
 	}
+	// Guards against lines out of order: an older one must not put a worker back into use that drains by a newer one. Its
+	// drains hold, and the whole list is asked for.
+	older := !l.Complete && l.Revision < n.revision
+	if older {
+		n.log.Warn("list", "older", l.Revision, "known", n.revision)
+		l.Revision, l.Members = Whole, slices.DeleteFunc(slices.Clone(l.Members), func(m Member) bool { return m.State != dispatch.Draining })
+	}
 	n.take(l.Members)
 	n.revision = l.Revision
 	n.listed = true
@@ -932,6 +944,9 @@
 		n.inbox = append(n.inbox, listed{form, l.Members})
 	}
 	n.asked = false
+	if older {
+		n.ask()
+	}
 }
 
 // ask opens a watch in place of the one before.
--- a/internal/settings/flight.go
+++ b/internal/settings/flight.go
@@ -32,7 +32,8 @@
 	differ("allowed.peers", now.MayTell != next.MayTell)
 	differ("allowed.second_copies", now.SecondCopies != next.SecondCopies)
 	differ("safety", now.AnswerSlack != next.AnswerSlack || now.AskWithin != next.AskWithin || now.OnlyDraining != next.OnlyDraining ||
-		now.StartShare != next.StartShare || now.Cold != next.Cold || now.FallMultiple != next.FallMultiple || now.Fall != next.Fall)
+		now.StartShare != next.StartShare || now.Cold != next.Cold || now.FallMultiple != next.FallMultiple || now.Fall != next.Fall ||
+		now.DrainGrace != next.DrainGrace)
 	if sameNames && len(now.Categories) == len(next.Categories) {
 		s.Categories = slices.Clone(now.Categories)
 		other := false
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -210,7 +210,7 @@
 		MayTell: r.yes("allowed.peers"), MayPause: r.yes("allowed.retry_after"),
 		SecondCopies: r.yes("allowed.second_copies"), MaxPause: r.ms("allowed.max_retry_after"),
 		MaxHandOffs: r.within("allowed.max_hand_offs", 1, 1, 1000), AnswerSlack: r.ms("safety.answer_slack"),
-		AskWithin: r.ms("safety.ask_within"), StartShare: r.num("safety.start_capacity", 0),
+		AskWithin: r.ms("safety.ask_within"), DrainGrace: r.ms("safety.drain_grace"), StartShare: r.num("safety.start_capacity", 0),
 		OnlyDraining: r.yes("safety.only_draining_binds"),
 		Cold:         r.ms("safety.cold"), FallMultiple: r.num("safety.fall_multiple", 1), Fall: r.ms("safety.fall")}
 	r.word("load_info.how", "answers", "probe", "none") // Unserved says what comes of it
