--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"encoding/json"
 	"errors"
@@ -146,6 +147,9 @@
 	return d.follow(ctx, number, addr, after)
 }
 
+// moreToCome is what the decoder says of a list that may go on with the next line; one that ends within a word may not.
+const moreToCome = "unexpected end of JSON input"
+
 // follow brings what a watch tells until it breaks.
 func (d *discovery) follow(ctx context.Context, number int, addr string, after int64) error {
 	path := listPath + "?watch=1"
@@ -155,24 +159,45 @@
 	err := d.call(ctx, addr, path, func(conn net.Conn, body io.Reader) error {
 		lines := bufio.NewScanner(body)
 		lines.Buffer(nil, listMost)
-		for first := true; lines.Scan(); first = false {
-			conn.SetDeadline(time.Now().Add(discoverySilent))
-			if len(lines.Bytes()) == 0 {
+		var text []byte // of a list that goes on over several lines
+		for first := true; lines.Scan(); {
+			line := lines.Bytes()
+			if len(text) == 0 { // a list has the same time whole as an empty line
+				conn.SetDeadline(time.Now().Add(discoverySilent))
+			}
+			if blank := len(bytes.TrimSpace(line)) == 0; blank && len(text) > 0 {
+				continue
+			} else if blank {
 				if first && after == node.Whole {
 					return errNotWhole
 				}
 				if first { // it speaks: nothing has changed since
 					d.node.Queue(node.Listing{Watch: number, Revision: after})
 				}
+				first = false
+				continue
+			}
+			begins := len(text) == 0
+			if text = append(append(text, line...), '\n'); len(text) > listMost {
+				return errors.New("bad line: a list without an end")
+			}
+			if !begins && !bytes.HasSuffix(bytes.TrimSpace(line), []byte("}")) {
+				continue
+			}
+			l, err := DecodeListing(text, d.names)
+			var cut *json.SyntaxError
+			if errors.As(err, &cut) && cut.Error() == moreToCome {
 				continue
 			}
-			l, err := DecodeListing(lines.Bytes(), d.names)
 			if err != nil { // what it told would be missing: ask again after the last that was read
 				return fmt.Errorf("bad line: %w", err)
 			}
+			text = text[:0]
+			conn.SetDeadline(time.Now().Add(discoverySilent))
 			if first && after == node.Whole && !l.Complete {
 				return errNotWhole
 			}
+			first = false
 			l.Watch = number
 			d.node.Queue(l)
 		}
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -29,7 +29,9 @@
 	p     *Platform
 	disc  net.Listener
 	lists chan net.Conn // each watch, its request read
-	spy   spy
+	// What each watch but the first asks after.
+	watches chan string
+	spy     spy
 }
 
 // spy is a dispatcher that keeps what it was told.
@@ -92,18 +94,22 @@
 
 func newRig(t *testing.T, change func(*Options, *node.Options)) *rig {
 	t.Parallel() // a stop takes its time
-	r := &rig{t: t, lists: make(chan net.Conn, 16)}
+	r := &rig{t: t, lists: make(chan net.Conn, 16), watches: make(chan string, 16)}
 	var err error
 	r.disc, err = net.Listen("tcp", "127.0.0.1:0")
 	r.must(err)
 	go func() {
-		for {
+		for first := true; ; first = false {
 			c, err := r.disc.Accept()
 			if err != nil {
 				return
 			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				r.lists <- c
+			q, err := http.ReadRequest(bufio.NewReader(c))
+			if err != nil {
+				continue
+			}
+			if r.lists <- c; !first {
+				r.watches <- q.FormValue("after")
 			}
 		}
 	}()
@@ -479,3 +485,124 @@
 		}
 	}
 }
+
+// state is what the dispatcher was told last of a worker; -1: nothing.
+func (s *spy) state(worker string) dispatch.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if state, ok := s.states[worker]; ok {
+		return state
+	}
+	return -1
+}
+
+// TestWatchEnds: a list counts once it is whole, however it is laid out and whatever ends its watch right behind it; what is
+// cut off counts for nothing, and a new watch asks after the last that was read.
+func TestWatchEnds(t *testing.T) {
+	const drain = `{"revision":2,"complete":false,"members":[{"id":"w1","host_port":"127.0.0.1:1","phase":"terminating"}]}`
+	indented := strings.NewReplacer("{", "{\n  ", ",", ",\n  ", "[", "[\n  ", "}", "\n}").Replace(drain)
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	for _, x := range []struct {
+		name, text string
+		ends       func(c *net.TCPConn) // nil: the watch stays
+		holds      bool                 // the drain does
+		after      string               // what the next watch asks after; empty: there is none
+	}{
+		{"a line", chunk(drain + "\n"), nil, true, ""},
+		{"a line that ends in CRLF, after an empty one", chunk("\r\n" + drain + "\r\n"), nil, true, ""},
+		{"indented", chunk(indented + "\n"), nil, true, ""},
+		{"indented, in pieces, then a usual one", chunk(indented[:20]) + chunk(indented[20:]+"\n") + chunk(listed(3, false)+"\n"), nil, true, ""},
+		{"whole, then closed", chunk(drain + "\n"), func(c *net.TCPConn) { c.Close() }, true, "2"},
+		{"whole, then reset", chunk(drain + "\n"), func(c *net.TCPConn) { c.SetLinger(0); c.Close() }, true, ""},
+		{"whole, the chunk cut off", fmt.Sprintf("%x\r\n%s\n", len(drain)+100, drain), func(c *net.TCPConn) { c.Close() }, true, "2"},
+		{"whole, then what is none", chunk(drain + "\ngarbage\n"), nil, true, "2"},
+		{"cut within a word", chunk(drain[:37] + "\n"), nil, false, "1"},
+		{"cut within an indented one, then the next", chunk(indented[:20] + "\n" + drain + "\n"), nil, false, "1"},
+		{"cut off by the end", chunk(drain[:60]), func(c *net.TCPConn) { c.Close() }, false, "1"},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			r := newRig(t, nil)
+			c := r.serve("127.0.0.1:1").(*net.TCPConn)
+			from := time.Now()
+			io.WriteString(c, x.text)
+			if strings.HasSuffix(x.name, "reset") { // what a reset takes back was never told
+				r.until("the drain", func() bool { return r.spy.state("w1") == dispatch.Draining })
+			}
+			if x.ends != nil {
+				x.ends(c)
+			}
+			if x.after != "" {
+				if after := await(t, "the next watch", r.watches); after != x.after {
+					t.Errorf("it asks after %q, wanted %q", after, x.after)
+				}
+				if took := time.Since(from); took > discoverySilent-500*time.Millisecond {
+					t.Errorf("that takes %v: it was taken for silence", took)
+				}
+			} else if x.holds {
+				r.until("the drain", func() bool { return r.spy.state("w1") == dispatch.Draining })
+			}
+			if holds := r.spy.state("w1") == dispatch.Draining; holds != x.holds {
+				t.Errorf("the drain holds: %v", holds)
+			}
+		})
+	}
+}
+
+// TestSilentWatch: each way of falling silent ends the watch within the time of an empty line that is missing, and the drain
+// that it missed is told by the next: long before the 6 s that count.
+func TestSilentWatch(t *testing.T) {
+	for name, last := range map[string]string{"nothing": "", "half a line": "14\r\n{\"revision\":2,", "half a list, its lines go on": "2\r\n{\n\r\n",
+		"a list without an end": "f\r\n{\"revision\":2,\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, nil)
+			c := r.serve("127.0.0.1:1")
+			from := time.Now()
+			io.WriteString(c, last)
+			stop := make(chan struct{})
+			defer close(stop)
+			if strings.HasSuffix(name, "go on") {
+				go func() { // blank lines do not make it whole
+					for {
+						select {
+						case <-stop:
+							return
+						case <-time.After(500 * time.Millisecond):
+							io.WriteString(c, "1\r\n\n\r\n")
+						}
+					}
+				}()
+			}
+			next := await(t, "the next watch", r.lists)
+			defer next.Close()
+			io.WriteString(next, watchHead)
+			tell(next, listed(2, false, entry("w1", "127.0.0.1:1", "terminating")))
+			r.until("the drain", func() bool { return r.spy.state("w1") == dispatch.Draining })
+			if took := time.Since(from); took > 5*time.Second {
+				t.Errorf("it took %v", took)
+			}
+		})
+	}
+}
+
+// TestOldWatchSpeaks: once discovery has moved, what the old address still tells changes nothing, and what the new one does not
+// name is gone with its whole list.
+func TestOldWatchSpeaks(t *testing.T) {
+	w := newWorker(t)
+	r := newRig(t, nil)
+	old := r.serve(w.addr)
+	other, err := net.Listen("tcp", "127.0.0.1:0")
+	r.must(err)
+	defer other.Close()
+	r.n.Queue(node.Moved{Discovery: other.Addr().String()})
+	c, err := other.Accept()
+	r.must(err)
+	defer c.Close()
+	tell(old, listed(2, false, entry("w1", w.addr, "terminating")))
+	r.serves(w, "meanwhile")
+	io.WriteString(c, watchHead)
+	tell(c, listed(1, true, entry("w2", "127.0.0.1:1", "in_service")))
+	r.until("the new list", func() bool { return r.spy.state("w2") == dispatch.Up })
+	if s := r.spy.state("w1"); s != -1 {
+		t.Errorf("w1 is %v", s)
+	}
+}
