--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -316,9 +316,13 @@
 		return bad("path %q does not begin with /", path)
 	}
 	first, rest, _ := bytes.Cut(path[1:], []byte("/"))
-	name, err := url.PathUnescape(string(first))
-	category := slices.Index(c.names.Categories, name)
-	if err != nil || category < 0 {
+	category := slices.Index(c.names.Categories, string(first))
+	if category < 0 { // a name may stand there as it is, also one that looks encoded, or encoded
+		if name, err := url.PathUnescape(string(first)); err == nil {
+			category = slices.Index(c.names.Categories, name)
+		}
+	}
+	if category < 0 {
 		return nil, fasthttp.StatusNotFound, fmt.Errorf("%q is not a known category", first)
 	}
 	tenant := slices.Index(c.names.Tenants, string(r.Header.Peek("X-Tenant")))
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -12,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/valyala/fasthttp"
+
 	"weldmast/internal/dispatch"
 	"weldmast/internal/node"
 	"weldmast/internal/settings"
@@ -606,3 +608,26 @@
 		t.Errorf("w1 is %v", s)
 	}
 }
+
+// TestNames: a category stands in the path as it is, also where it looks encoded, or encoded.
+func TestNames(t *testing.T) {
+	c := &clients{names: settings.Names{Categories: []string{"label", "label%", "label%20x", "säge+log", "säge", "saw log"}},
+		expiries: []float64{1, 1, 1, 1, 1, 1}, node: node.New(node.Options{Settings: dispatch.Settings{}})}
+	for path, want := range map[string]int{"/label/x": 0, "/label%/x": 1, "/label%25/x": 1, "/label%20x/x": 2, "/label%2520x/x": 2,
+		"/säge+log/x": 3, "/s%C3%A4ge+log/x": 3, "/säge/x": 4, "/s%c3%a4ge/x": 4, "/saw%20log/x": 5, "/labe/x": -1, "/label%2": -1, "/": -1} {
+		var q fasthttp.Request
+		q.Header.SetMethod("POST")
+		q.Header.Set("X-Request-Id", "a")
+		q.Header.SetRequestURI(path)
+		client, status, err := c.decode(&q, []byte(path))
+		got := -1
+		if err == nil {
+			got = client.Category
+		} else if status != fasthttp.StatusNotFound {
+			t.Errorf("%s: %d %v", path, status, err)
+		}
+		if got != want {
+			t.Errorf("%s: category %d, wanted %d (%v)", path, got, want, err)
+		}
+	}
+}
