--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -40,6 +40,8 @@
 	lateLook   = 5 * time.Millisecond // once that is over, one more look for what lies there unread
 	aheadMost  = headMost + bodyMost  // of what a client says ahead of an answer: a request
 	aheadPiece = 4 << 10
+	// Without a descriptor for one more connection, the next is tried after this time.
+	acceptAgain = 5 * time.Millisecond
 )
 
 type clients struct {
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"io"
 	"net"
@@ -38,7 +39,7 @@
 
 // spy is a dispatcher that keeps what it was told.
 type spy struct {
-	dispatch.Decider
+	*dispatch.Dispatcher
 	in      dispatch.Inbox
 	mu      sync.Mutex
 	arrived int
@@ -54,13 +55,13 @@
 
 func (s *spy) Round(now float64, in dispatch.Inbox, out dispatch.Writer) {
 	s.in = in
-	s.Decider.Round(now, s, out)
+	s.Dispatcher.Round(now, s, out)
 }
 
-func (s *spy) Deliver(to dispatch.Receiver) { s.in.Deliver(&heard{to, s}) }
+func (s *spy) Deliver(dispatch.Receiver) { s.in.Deliver(&heard{s.Dispatcher, s}) }
 
 type heard struct {
-	dispatch.Receiver
+	*dispatch.Dispatcher
 	s *spy
 }
 
@@ -68,7 +69,7 @@
 	h.s.mu.Lock()
 	h.s.arrived++
 	h.s.mu.Unlock()
-	h.Receiver.Arrived(wi)
+	h.Dispatcher.Arrived(wi)
 }
 
 func (h *heard) Listed(form dispatch.Form, entries []dispatch.Entry) {
@@ -81,7 +82,7 @@
 		h.s.states[e.Worker] = e.State
 	}
 	h.s.mu.Unlock()
-	h.Receiver.Listed(form, entries)
+	h.Dispatcher.Listed(form, entries)
 }
 
 func options() (Options, node.Options) {
@@ -120,7 +121,7 @@
 	if change != nil {
 		change(&o, &no)
 	}
-	r.spy.Decider, no.Decider = dispatch.New(no.Settings), &r.spy
+	r.spy.Dispatcher, no.Decider = dispatch.New(no.Settings), &r.spy
 	r.n = node.New(no)
 	r.p, err = Start(o, r.n)
 	r.must(err)
@@ -423,6 +424,38 @@
 	}
 }
 
+// TestLeftInTakeover: a job comes from another process, to be sent on, and its client has left on the way: nothing goes out.
+func TestLeftInTakeover(t *testing.T) {
+	w := newWorker(t)
+	r := newRig(t, nil)
+	r.serve(w.addr)
+	for k, id := range []string{"stays", "left by FIN", "left by RST"} {
+		cc, client := pair(t)
+		if k == 2 {
+			client.SetLinger(0)
+		}
+		if k > 0 {
+			client.Close()
+			r.until("its departure", func() bool { _, left := cc.peek(); return left })
+		}
+		head := "POST /order/x HTTP/1.1\r\nX-Request-Id: " + id + "\r\nContent-Length: 0\r\n"
+		text, err := json.Marshal(goods{Job: node.Job{ID: id, Category: 1, Hint: 100, Expiry: r.n.Now() + 5000}, Head: []byte(head)})
+		r.must(err)
+		r.p.AdoptJob(cc.Conn, text)
+		if k == 0 {
+			await(t, id, w.got).answer(taken)
+			r.done(id)
+			if got := status(client); got != "200" {
+				t.Errorf("%s got %s", id, got)
+			}
+		}
+	}
+	r.serves(w, "last")
+	if w.saw("left by FIN") || w.saw("left by RST") {
+		t.Error("one was sent, whose client had left")
+	}
+}
+
 // serves has one job done, by a client that stays.
 func (r *rig) serves(w *worker, id string) {
 	r.t.Helper()
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -97,12 +97,19 @@
 	return c.enter(conn), nil
 }
 
-// next is the next connection that comes in; none while the gate is shut.
+// next is the next connection that comes in; none while the gate is shut. Want of descriptors or memory passes: fasthttp
+// would take any error for the listener's end, and the program would serve nobody from then on.
 func (c *clients) next() (net.Conn, error) {
 	for {
 		c.gate.wait()
 		conn, err := c.listener.Accept()
-		if !errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
+			slog.Warn("accept", "accept", err)
+			c.makeRoom()
+			time.Sleep(acceptAgain)
+		default:
 			return conn, err
 		}
 	}
