--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -224,11 +224,11 @@
 			n.Free = x
 		}
 	}
-	for k := range int(r.num("categories.count", 0)) {
+	for k := range r.within("categories.count", 1, 1, 1e4) {
 		n.Categories = append(n.Categories, r.text("categories."+strconv.Itoa(k)+".name"))
 		s.Categories = append(s.Categories, r.category(k, n.Kinds))
 	}
-	for k := range int(r.num("realms.count", 0)) {
+	for k := range r.within("realms.count", 0, 0, 1e5) {
 		at := "realms." + strconv.Itoa(k) + "."
 		n.Tenants = append(n.Tenants, r.text(at+"name"))
 		s.Tenants = append(s.Tenants, dispatch.Tenant{PerSec: r.num(at+"allowance_per_s", 0)})
@@ -241,6 +241,9 @@
 	r.must(at+"name", at+"semantics", at+"expiry", at+"due_time")
 	c := dispatch.Category{Window: r.ms(at + "window"), Due: r.ms(at + "due_time"),
 		Stretch: r.num(at+"aim_stretch", 0), Expiry: r.ms(at + "expiry"), Credit: r.num(at+"credit", 1), Kind: -1}
+	if c.Expiry <= 0 {
+		r.fail(at+"expiry", "is not above 0")
+	}
 	switch r.text(at + "semantics") {
 	case "repeatable":
 	case "by_key":
