--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -285,7 +285,7 @@
 		return
 	}
 	w, k, gap := h.w, &d.kinds[h.w.Kind], d.now-h.sent
-	if w.minGap = min(w.minGap, gap); gap > d.grace(w) {
+	if d.reached(w, gap); gap > d.grace(w) {
 		w.full, w.drained = d.now+min(gap, d.span(w)), d.now+gap
 	}
 	d.fits(k, h, gap <= d.grace(w))
--- a/internal/dispatch/hintless_test.go
+++ b/internal/dispatch/hintless_test.go
@@ -64,3 +64,31 @@
 		t.Errorf("hinted %v, guess %.0f, %d hints", d.hinted, d.guess(0), d.sampled)
 	}
 }
+
+// TestFarZone: where even the nearest start of a zone takes longer than a beat, a start that takes as long as a new connection
+// there is not late: the work is not called off to be sent on by yet another new connection. Nearby nothing changes.
+func TestFarZone(t *testing.T) {
+	for zone, gap := range []float64{2, 35} {
+		s := plain()
+		s.SecondCopies, s.MaxHandOffs = true, 6
+		tr := start(t, s)
+		tr.at(tr.now+1, func(d *Dispatcher) {
+			d.Listed(Complete, []Entry{{Worker: "f1", Zone: zone}, {Worker: "f2", Zone: zone}})
+		})
+		for id := uint64(1); id <= 10; id++ {
+			tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: id, Tenant: -1, Left: 5000, Hint: 100}) })
+			tr.at(tr.now+gap, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+			tr.at(tr.now+100, func(d *Dispatcher) { tr.end(id, 0, Finished) })
+		}
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Arrived(WorkItem{ID: 20, Tenant: -1, Left: 5000, Hint: 100}) })
+		tr.at(tr.now+gap+3*gap, func(*Dispatcher) {}) // a new connection: three trips more
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(20, 0, true, 0) })
+		if n := len(tr.d.items[20].hos); n != 1 {
+			t.Errorf("zone %d: %d hand-offs", zone, n)
+		}
+		w := tr.d.byID["f1"]
+		if far := tr.d.grace(w) > 4*gap; far != (zone == 1) {
+			t.Errorf("zone %d: a start may take %.0f", zone, tr.d.grace(w))
+		}
+	}
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -264,12 +264,13 @@
 	ready     []*worker // those with credit, this round
 	stirred   bool      // held work may find room that it did not find before
 	arrived   bool
-	pressed   bool    // no worker has sure credit
-	suspects  bool    // some worker is suspected
-	failing   float64 // share of first hand-offs answered as failed, smoothed
-	silent    float64 // share of work started whose answer never came, smoothed
-	again     float64 // share of second ones elsewhere that fail as well
-	succeeded bool    // another process has taken this one's place
+	pressed   bool      // no worker has sure credit
+	suspects  bool      // some worker is suspected
+	far       []float64 // least time to a start notice from each zone, the first from no known one
+	failing   float64   // share of first hand-offs answered as failed, smoothed
+	silent    float64   // share of work started whose answer never came, smoothed
+	again     float64   // share of second ones elsewhere that fail as well
+	succeeded bool      // another process has taken this one's place
 }
 
 // chance draws from [0, 1) by multiply-with-carry.
@@ -431,8 +432,24 @@
 	c.at = d.now
 }
 
-// grace is how long a start notice may take from a worker with room.
-func (d *Dispatcher) grace(w *worker) float64 { return 2*min(w.minGap, d.beat) + d.f.twoGrains }
+// grace is how long a start notice may take from a worker with room: twice the least seen from it, as it is near. From where
+// even the least of all workers takes longer than a beat it may be four times that: a new connection takes up to three more
+// trips there and back.
+func (d *Dispatcher) grace(w *worker) float64 {
+	if z := w.Zone + 1; z < len(d.far) && d.far[z] > d.beat && !math.IsInf(d.far[z], 0) {
+		return 4*d.far[z] + d.f.twoGrains
+	}
+	return 2*min(w.minGap, d.beat) + d.f.twoGrains
+}
+
+// reached takes the time from a hand-off to its start notice.
+func (d *Dispatcher) reached(w *worker, gap float64) {
+	w.minGap = min(w.minGap, gap)
+	for len(d.far) < w.Zone+2 {
+		d.far = append(d.far, math.Inf(1))
+	}
+	d.far[w.Zone+1] = min(d.far[w.Zone+1], gap)
+}
 
 // span is the running time of a work item of mean cost on the worker.
 func (d *Dispatcher) span(w *worker) float64 { return d.mean * math.Exp(d.kinds[w.Kind].slow) }
