--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -664,3 +664,59 @@
 		}
 	}
 }
+
+// TestSecondAnswer: a worker answers a request a second time, some milliseconds late, that it has not run it. That is never
+// taken for the answer to the next one, which runs: that one would go out again. A connection that has settled is used again.
+func TestSecondAnswer(t *testing.T) {
+	w := newWorker(t)
+	r := newRig(t, nil)
+	r.serve(w.addr)
+	c := r.dial()
+	ask := func(id string) *got {
+		t.Helper()
+		io.WriteString(c, job(id, "order"))
+		g := await(t, id, w.got)
+		g.answer(taken)
+		return g
+	}
+	first := ask("first")
+	r.back("first", "started")
+	r.done("first")
+	if got := status(c); got != "200" {
+		t.Fatalf("the first got %s", got)
+	}
+	io.WriteString(c, job("next", "order"))
+	next := await(t, "the next", w.got)
+	first.answer("HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+	if next.conn == first.conn {
+		t.Error("the next one went out on a connection that had just been answered on")
+	}
+	next.answer(taken)
+	r.done("next")
+	if got := status(c); got != "200" {
+		t.Errorf("the next got %s", got)
+	}
+	r.until("a settled one", func() bool {
+		r.p.workers.mu.Lock()
+		defer r.p.workers.mu.Unlock()
+		for _, kept := range r.p.workers.idle[w.addr] {
+			if kept.LocalAddr().String() == next.conn.RemoteAddr().String() && time.Since(kept.since) > settled {
+				return true
+			}
+		}
+		return false
+	})
+	last := ask("last")
+	if last.conn != next.conn {
+		t.Error("a settled connection is not used again")
+	}
+	r.done("last")
+	if got := status(c); got != "200" {
+		t.Errorf("the last got %s", got)
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if got := strings.Join(w.seen, " "); got != "first next last" {
+		t.Errorf("the worker got %s", got)
+	}
+}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -30,6 +30,9 @@
 	answerMost = 64 << 10
 	dropWithin = time.Second // a worker's answer to a giving up is read for so long
 	keepMost   = 16          // idle connections kept to one worker
+	// A connection is used again only once nothing has come on it for so long. This guards against a second answer to the request
+	// before, some milliseconds late, that would be taken for the answer to the next: work that runs could count as never run.
+	settled = 20 * time.Millisecond
 )
 
 // message is a client's request as it goes on to any worker, encoded once: all but the lines that differ.
@@ -120,8 +123,15 @@
 		if len(list) == 0 {
 			break
 		}
-		c := list[len(list)-1]
-		w.idle[addr] = list[:len(list)-1]
+		k := len(list) - 1
+		for k >= 0 && time.Since(list[k].since) < settled {
+			k--
+		}
+		if k < 0 {
+			break
+		}
+		c := list[k]
+		w.idle[addr] = slices.Delete(list, k, k+1)
 		usable := w.usable()
 		w.mu.Unlock()
 		if c.rest = time.Since(c.since); c.rest < usable {
