--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -720,3 +720,63 @@
 		t.Errorf("the worker got %s", got)
 	}
 }
+
+// TestAfterTheEnd: between the node's end and the listener's a callback still gets its 200, and a job, also one that lay unread
+// on a kept or a new connection, its deferral.
+func TestAfterTheEnd(t *testing.T) {
+	w := newWorker(t)
+	r := newRig(t, nil)
+	r.serve(w.addr)
+	kept, fresh := r.dial(), r.dial()
+	io.WriteString(kept, job("first", "order"))
+	await(t, "the first", w.got).answer(taken)
+	r.n.Queue(node.Stop{})
+	r.until("draining", func() bool { return r.n.Phase() == node.Draining })
+	r.until("no more work", func() bool { return r.p.clients.draining.Load() })
+	io.WriteString(kept, job("behind", "order")) // said ahead of the answer that ends the node
+	r.done("first")
+	in := bufio.NewReader(kept)
+	if got := status(in); got != "200" {
+		t.Errorf("the first got %s", got)
+	}
+	<-r.n.Done()
+	r.back("first", "done")
+	r.back("nobody", "failed")
+	closed := make(chan struct{})
+	io.WriteString(fresh, job("late", "order"))
+	go func() { r.p.clients.close(readWithin); close(closed) }()
+	if got := status(fresh); got != "503" {
+		t.Errorf("the late one got %s", got)
+	}
+	<-closed
+	if w.saw("late") || w.saw("behind") {
+		t.Error("work was sent after the end")
+	}
+}
+
+// TestEndlessAnswer: an answer to a hand-off that never ends holds up neither the job's end by its callback nor its expiry.
+func TestEndlessAnswer(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 202 Accepted\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n", "HTTP/1.1 202 Acc", "HTTP/1.1 202 Accepted\r\nContent-Length: 10\r\n\r\nx"} {
+		t.Run(head[9:16], func(t *testing.T) {
+			w := newWorker(t)
+			r := newRig(t, func(o *Options, no *node.Options) {
+				o.Expiries[1], no.Settings.Categories[1].Due, no.Settings.Categories[1].Expiry = 700, 600, 700
+			})
+			r.serve(w.addr)
+			c := r.dial()
+			io.WriteString(c, job("called back", "order"))
+			await(t, "it", w.got).answer(head)
+			r.back("called back", "started")
+			r.done("called back")
+			if got := status(c); got != "200" {
+				t.Errorf("called back: %s", got)
+			}
+			c = r.dial()
+			io.WriteString(c, job("not", "order"))
+			await(t, "it", w.got).answer(head)
+			if got := status(c); got != "502" {
+				t.Errorf("without a callback: %s", got)
+			}
+		})
+	}
+}
