--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -111,13 +111,11 @@
 func (c *clients) close(within time.Duration) {
 	c.draining.Store(true)
 	for end := time.Now().Add(within); ; time.Sleep(5 * time.Millisecond) {
-		busy := 0
-		for _, conn := range c.all() {
-			if !conn.closeIdle(true) {
-				busy++
-			}
+		all := c.all()
+		for _, conn := range all {
+			conn.closeIdle(true)
 		}
-		if busy == 0 || time.Now().After(end) {
+		if len(all) == 0 || time.Now().After(end) {
 			break
 		}
 	}
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -224,7 +224,8 @@
 	serving bool
 	used    bool // it had a request
 	proven  bool
-	closing bool
+	closing bool          // it is to be closed, unless something of a request was read before
+	shut    bool          // it is closed, whatever was read
 	offered bool          // it is given away once it is at rest
 	last    byte          // of what was read of the request line
 	line    bool          // the request line was read
@@ -249,9 +250,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closing {
-		return 0, net.ErrClosed
+	if c.closing && (n == 0 || c.shut) {
+		return 0, io.EOF
 	}
+	c.closing = false       // it came first: its client is owed an answer
 	if n > 0 && c.offered { // its request is served here
 		c.offered = false
 		c.Conn.SetReadDeadline(time.Now().Add(readWithin))
@@ -294,7 +296,7 @@
 func (c *clientConn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.offered && !c.begun {
+	if (c.offered || c.closing) && !c.begun {
 		t = time.Unix(1, 0)
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -403,7 +405,7 @@
 	case c.proven && !c.begun && c.pending():
 		c.moved()
 	default:
-		c.closing = true
+		c.closing, c.shut = true, true
 		c.Close()
 	}
 }
@@ -424,8 +426,9 @@
 		c.moved()
 	}
 	if !c.begun && (c.used || unused) {
+		// Who reads closes it: what it has just read and not told of yet would be lost.
 		c.closing = true
-		c.Close()
+		c.Conn.SetReadDeadline(time.Unix(1, 0))
 	}
 	return !c.begun
 }
