--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -456,11 +456,12 @@
 	}
 }
 
-// serves has one job done, by a client that stays.
+// serves has one job done, by a client that stays: such as goes to a worker that seems to have failed, as one does whose
+// job was called off before its start was told.
 func (r *rig) serves(w *worker, id string) {
 	r.t.Helper()
 	c := r.dial()
-	io.WriteString(c, job(id, "order"))
+	io.WriteString(c, job(id, "plan"))
 	if g := await(r.t, id, w.got); g.id != id {
 		r.t.Fatalf("%s came, wanted %s", g.id, id)
 	} else {
