--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -672,6 +672,9 @@
 	w := newWorker(t)
 	r := newRig(t, nil)
 	r.serve(w.addr)
+	r.p.workers.mu.Lock()
+	r.p.workers.settle = time.Second // longer than any pause between two lines here
+	r.p.workers.mu.Unlock()
 	c := r.dial()
 	ask := func(id string) *got {
 		t.Helper()
@@ -701,7 +704,7 @@
 		r.p.workers.mu.Lock()
 		defer r.p.workers.mu.Unlock()
 		for _, kept := range r.p.workers.idle[w.addr] {
-			if kept.LocalAddr().String() == next.conn.RemoteAddr().String() && time.Since(kept.since) > settled {
+			if kept.LocalAddr().String() == next.conn.RemoteAddr().String() && time.Since(kept.since) > time.Second {
 				return true
 			}
 		}
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -89,6 +89,7 @@
 	node    *node.Node
 	dialer  net.Dialer
 	idleFor time.Duration // connections are used again after being idle for so long, at most
+	settle  time.Duration // and not before being idle for so long
 	most    int
 	copies  bool // second copies are allowed
 	figures *figures.Figures
@@ -104,7 +105,7 @@
 func newWorkers(n *node.Node, o Options) *workers {
 	ms, l := float64(time.Millisecond), o.Links
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
-		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), copies: o.Copies,
+		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), settle: settled, copies: o.Copies,
 		figures: o.Figures, gate: o.Gate, idle: map[string][]*workerConn{}}
 }
 
@@ -124,7 +125,7 @@
 			break
 		}
 		k := len(list) - 1
-		for k >= 0 && time.Since(list[k].since) < settled {
+		for k >= 0 && time.Since(list[k].since) < w.settle {
 			k--
 		}
 		if k < 0 {
