--- a/deploy/sites/write.go
+++ b/deploy/sites/write.go
@@ -28,7 +28,6 @@
 	name    string
 	from    string // the operators' file
 	changes []change
-	added   string // tables put at the end
 }
 
 var variants = []variant{
@@ -170,7 +169,7 @@
 		if err != nil {
 			return fmt.Errorf("%s from %s: %w", v.name, v.from, err)
 		}
-		if err := os.WriteFile(filepath.Join(to, v.name+".toml"), []byte(changed+v.added), 0o644); err != nil {
+		if err := os.WriteFile(filepath.Join(to, v.name+".toml"), []byte(changed), 0o644); err != nil {
 			return err
 		}
 	}
