A worker gets one hand-off of a work item at a time, also after one that was called off

Change: allowed() refuses a worker at which an earlier hand-off of the item has not ended, or ended by a reset, a giving up or time alone.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -317,7 +317,7 @@
 		return
 	}
 	h := &it.hos[a.HO]
-	h.done, d.stirred = true, true
+	h.done, h.unsure, d.stirred = true, a.Outcome.MayGoOn(), true
 	it.out--
 	d.off(h)
 	d.judge(it, h, a)
@@ -796,7 +796,8 @@
 		return false
 	}
 	// Drains: never to one that this dispatcher was told drains or is gone. No effect twice.
-	if w.State != Up || it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) || !d.mayRepeat(it, w) {
+	if w.State != Up || it.out > 0 && (!d.f.copies || it.cat.Repeat == Exclusive) ||
+		it.still(w) || !d.mayRepeat(it, w) {
 		return false
 	}
 	// Cold workers: by the few that may warm them, by one process of each, within its part of the budget.
--- a/internal/dispatch/port.go
+++ b/internal/dispatch/port.go
@@ -102,6 +102,9 @@
 // ProvesUnrun tells whether the outcome proves that the work never ran.
 func (o Outcome) ProvesUnrun() bool { return o == Full || o == ConnectFailed || o == Moot }
 
+// MayGoOn tells whether the worker may run the work on, for all that the outcome shows.
+func (o Outcome) MayGoOn() bool { return o == TimedOut || o == Reset || o == Cancelled }
+
 // Load is a worker's own report. Values are -1 where the report lacks them.
 type Load struct {
 	Free float64 // free slots
--- a/internal/dispatch/shape_test.go
+++ b/internal/dispatch/shape_test.go
@@ -155,6 +155,54 @@
 	}
 }
 
+// TestOneAtATime: a worker gets one hand-off of a work item at a time. Where the first may still be there, as it is silent, its
+// connection broke or it was called off, and a second one elsewhere was turned away, the third never goes to the first's worker,
+// though nobody else has room; where the first ended for certain it does.
+func TestOneAtATime(t *testing.T) {
+	for _, first := range []Outcome{-1, Reset, Cancelled, TimedOut, Failed, Full} {
+		s := plain()
+		s.SecondCopies, s.MaxHandOffs = true, 5
+		tr := start(t, s)
+		tr.up("f1", "f2")
+		for id := uint64(100); id < 130; id++ {
+			tr.run(id, 0, 100, 100)
+		}
+		tr.d.silent = 0.9 // answers vanish: work is copied
+		tr.arrive(1, 0, 400)
+		it := tr.d.items[1]
+		w := it.hos[0].w
+		tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(1, 0, true, 0) })
+		if first >= 0 {
+			tr.at(tr.now+1, func(*Dispatcher) { tr.end(1, 0, first) })
+		}
+		for until := tr.now + 700; len(it.hos) < 2 && tr.now < until; {
+			tr.at(tr.now+5, func(*Dispatcher) {})
+		}
+		if len(it.hos) < 2 || it.hos[1].w == w {
+			t.Fatalf("%v: no second hand-off elsewhere: %d", first, len(it.hos))
+		}
+		for range 3 { // turned away, again and again
+			k := len(it.hos) - 1
+			if it.hos[k].done {
+				break
+			}
+			tr.at(tr.now+1, func(*Dispatcher) { tr.end(1, k, Full) })
+			for _, x := range tr.d.workers { // all others have room at once
+				x.fails, x.outTill, x.full, x.suspectTill = 0, 0, 0, 0
+			}
+			tr.at(tr.now+5, func(*Dispatcher) { tr.d.stirred = true })
+			tr.at(tr.now+300, func(*Dispatcher) { tr.d.stirred = true })
+		}
+		again := false
+		for k, h := range it.hos {
+			again = again || k > 0 && h.w == w
+		}
+		if may := first == Failed || first == Full; again != may {
+			t.Errorf("first ended as %d: handed off to its worker again %v, wanted %v", first, again, may)
+		}
+	}
+}
+
 // TestSilentWorker: a worker that falls silent is convicted by the work that it started, else it would get all that comes,
 // one after another. Where a fifth of all answers vanish that takes two in a row: most that lose one are well. Where work may
 // be fetching, silence tells nothing of answers: it is a failure each time.
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -184,6 +184,12 @@
 	done    bool
 	unrun   bool // known not to have run
 	moved   bool // called off by this dispatcher
+	unsure  bool // it has ended here, but may go on at the worker
+}
+
+// still tells whether an earlier hand-off may still be at the worker, which gets one of a work item at a time, copies or not.
+func (it *item) still(w *worker) bool {
+	return slices.ContainsFunc(it.hos, func(h handoff) bool { return h.w == w && (!h.done || h.unsure) })
 }
 
 // to moves the hand-off from the count that it is in to another, or to none.
