--- a/internal/council/core.go
+++ b/internal/council/core.go
@@ -42,6 +42,7 @@
 	electionLeast  = 400 // without a leader's word; drawn up to twice that
 	retryStore     = 1000
 	keepRecent     = 1024 // entries of the history that are kept for who is behind
+	readEvery      = 25   // readings are begun no closer together: all beats that came meanwhile share one
 	compactEvery   = 512
 	compactKeep    = 128
 )
@@ -233,7 +234,10 @@
 	c.run(now)
 	c.ask(now)
 	c.run(now)
-	if c.leads() {
+	switch {
+	case c.leads() && len(c.waiting) > 0 && len(c.asked) == 0:
+		return min(c.tickAt, max(c.askedAt+readEvery, now))
+	case c.leads():
 		return c.tickAt
 	}
 	return c.deadline
@@ -265,9 +269,10 @@
 	}
 }
 
-// ask has a majority say that this voter leads, for all beats that have come so far.
+// ask has a majority say that this voter leads, for all beats that have come so far. Each such reading costs a message to each
+// voter and one back; begun for each beat, the leader's time went into these and grew with the members.
 func (c *Core) ask(now float64) {
-	if !c.leads() || len(c.waiting) == 0 || len(c.asked) > 0 || c.held != nil {
+	if !c.leads() || len(c.waiting) == 0 || len(c.asked) > 0 || c.held != nil || now < c.askedAt+readEvery {
 		return
 	}
 	c.asked, c.waiting = c.waiting, nil
--- a/internal/council/core_test.go
+++ b/internal/council/core_test.go
@@ -70,6 +70,7 @@
 	cores  []*Core
 	stores []*memory
 	lost   float64
+	jitter float64
 	cut    map[[2]int]bool
 	wire   []flying
 }
@@ -82,7 +83,7 @@
 }
 
 func newPlay(t *testing.T, n int, seed uint64) *play {
-	p := &play{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), ids: map[uint64]int{}, cut: map[[2]int]bool{}}
+	p := &play{t: t, rnd: rand.New(rand.NewPCG(seed, 1)), ids: map[uint64]int{}, cut: map[[2]int]bool{}, jitter: 10}
 	for k := range n {
 		p.names = append(p.names, fmt.Sprint("v", k))
 		p.ids[FirstSeat("f", p.names[k])] = k
@@ -141,7 +142,7 @@
 		c.Step(p.now)
 		for _, m := range c.Take(p.now) {
 			if p.rnd.Float64() >= p.lost {
-				p.wire = append(p.wire, flying{p.now + 1 + 10*p.rnd.Float64(), k, p.ids[m.To], m})
+				p.wire = append(p.wire, flying{p.now + 1 + p.jitter*p.rnd.Float64(), k, p.ids[m.To], m})
 			}
 		}
 	}
@@ -256,6 +257,57 @@
 	}
 }
 
+// TestReadings: beats by the hundred a second share the readings that confirm the leader: what it tells other voters does not
+// grow with them, and each beat is answered soon, once, with a lease. One voter of five stands still and one is cut off meanwhile.
+func TestReadings(t *testing.T) {
+	told := map[int]int{}
+	for _, each := range []int{1, 20} { // beats in each 5 ms
+		p := newPlay(t, 5, 3)
+		p.until(5000, "a leader", func() bool { return p.leader() != nil })
+		p.jitter = 0 // near one another: a reading could be over at once, and the next begun
+		l := p.leader()
+		lead := slices.Index(p.cores, l)
+		still, cut := (lead+1)%5, (lead+2)%5
+		for k := range p.cores {
+			p.cut[[2]int{k, cut}], p.cut[[2]int{cut, k}] = true, true
+			p.cut[[2]int{k, still}] = true
+		}
+		l.Propose(p.now, fleet.Command{Kind: fleet.Admitted, Request: "m", Member: "m", Address: "m", Alone: fleet.Stop, Run: "r"}, func(fleet.Result, error) {})
+		p.until(2000, "the member", func() bool { _, known := l.state.Member("m"); return known })
+		sent, answered, late := 0, 0, 0.
+		for end := p.now + 1000; p.now < end; {
+			for range each {
+				began := p.now
+				sent++
+				l.Beat(p.now, fleet.Beat{Fleet: "f", Format: fleet.Format, Member: "m", Address: "m", Run: "r", Alone: fleet.Stop, Lease: figures.Lease, Drift: figures.Drift},
+					func(r fleet.Renewal, err error) {
+						if err != nil || r.Granted == 0 {
+							t.Errorf("%+v %v", r, err)
+						}
+						answered++
+						late = max(late, p.now-began)
+					})
+			}
+			p.step()
+			for _, f := range p.wire {
+				if f.from == lead && f.at == p.now+1 { // sent in this step
+					told[each]++
+				}
+			}
+		}
+		for end := p.now + 200; p.now < end; {
+			p.step()
+		}
+		if p.leader() != l || answered != sent || late > readEvery+60 {
+			t.Errorf("%d beats in 5 ms: %d of %d answered, after %.0f ms at most", each, answered, sent, late)
+		}
+	}
+	t.Logf("messages of the leader by beats in 5 ms: %v", told)
+	if told[20] > told[1]*5/4 || told[1] > 4*(1000/readEvery+1000/HeartbeatEvery+5) {
+		t.Errorf("messages of the leader by beats in 5 ms: %v", told)
+	}
+}
+
 func TestStorms(t *testing.T) {
 	idle, all := 0, 0
 	for seed := range uint64(60) {
--- a/internal/council/council.go
+++ b/internal/council/council.go
@@ -8,7 +8,9 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"weldmast/internal/fleet"
@@ -37,8 +39,10 @@
 	voteWithin    = time.Second
 	snapWithin    = 5 * time.Second
 	helloWithin   = 500 * time.Millisecond
-	helloPatience = 2 * time.Second // for all others; then a majority has to do
-	catchingUp    = 16              // that get much at once
+	helloPatience = 2 * time.Second        // for all others; then a majority has to do
+	gather        = 240 * time.Millisecond // while the history moves fast it is told in lots, this far apart, half of it or more
+	fast          = 500 * time.Millisecond // it does while two entries are no further apart, and as long after
+	catchingUp    = 16                     // that get much at once
 	muchEntries   = 64
 	partBytes     = 256 << 10
 	askWithin     = 3 * time.Second
@@ -61,8 +65,10 @@
 	seat    uint64
 	wants   uint64 // the seat that it asks for
 	peers   map[uint64]*peer
-	wake    chan struct{} // closed when the history goes on
-	busy    int           // catching up
+	wake    chan struct{}   // closed when the history goes on
+	moves   [2]atomic.Int64 // when it last did, and the time before: nanoseconds since the start
+	began   time.Time
+	busy    int // catching up
 	probeAt float64
 	probing int
 	mu      sync.Mutex
@@ -81,7 +87,7 @@
 		o.Voters[k].Seat = FirstSeat(o.Fleet, v.Name)
 	}
 	c := &Council{o: o, inbox: make(chan func(), inboxSize), client: fleetlink.NewClient(o.Fleet, o.Via),
-		peers: map[uint64]*peer{}, wake: make(chan struct{}), state: "starting"}
+		peers: map[uint64]*peer{}, wake: make(chan struct{}), state: "starting", began: time.Now()}
 	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.running.Go(c.run)
 	return c, nil
@@ -175,6 +181,8 @@
 		c.send(m)
 	}
 	if c.core.Moved() {
+		c.moves[1].Store(c.moves[0].Load())
+		c.moves[0].Store(int64(time.Since(c.began)))
 		close(c.wake)
 		c.wake = make(chan struct{})
 	}
@@ -612,11 +620,35 @@
 	return a
 }
 
+// hurried tells whether the history moves fast at the moment.
+func (c *Council) hurried() bool {
+	last, before := time.Duration(c.moves[0].Load()), time.Duration(c.moves[1].Load())
+	return before > 0 && last-before < fast && time.Since(c.began)-last < fast
+}
+
+// lot waits, while the history moves fast, until there is more to tell at once. This guards against a fleet that starts, whose
+// every admission would be one call of every member: they grew with the square of the members and buried the voters.
+func (c *Council) lot(ctx context.Context) {
+	if !c.hurried() {
+		return
+	}
+	t := time.NewTimer(gather/2 + rand.N(gather/2))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	case <-c.ctx.Done():
+	}
+}
+
 // Entries gives what comes after, and waits for it as long as the asker wants to.
 func (c *Council) Entries(ctx context.Context, q fleetlink.After) fleetlink.Batch {
 	end := time.NewTimer(min(time.Duration(max(q.Wait, 0)*1e6), fleetlink.WaitMost))
 	defer end.Stop()
 	for {
+		if q.Wait > 0 && q.N > 0 { // who knows nothing yet, or asks without waiting, is told at once
+			c.lot(ctx)
+		}
 		out := make(chan fleetlink.Batch, 1)
 		var wake chan struct{}
 		if !c.do(func() {
--- a/internal/fleetlink/link.go
+++ b/internal/fleetlink/link.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -257,7 +258,8 @@
 		ctx.Error(fmt.Sprintf("this is the fleet %q, format %d\n", s.head.Fleet, s.head.Format), fasthttp.StatusConflict)
 		return
 	}
-	ctx.SetBody(fleet.Encode(do(m)))
+	// Not copied: the buffer of each connection would keep the size of its largest answer, a part of a snapshot.
+	ctx.Response.SetBodyRaw(fleet.Encode(do(m)))
 }
 
 // Client calls other processes of the fleet. Each call is made once.
@@ -268,6 +270,13 @@
 	mu   sync.Mutex
 	open map[*dialed]bool
 	over bool
+
+	calls, read, written atomic.Uint64
+}
+
+// Traffic counts the calls that were made and the bytes that were read and written for them, from the first on.
+func (c *Client) Traffic() (calls, read, written uint64) {
+	return c.calls.Load(), c.read.Load(), c.written.Load()
 }
 
 // dialed is a connection that the client's end closes.
@@ -276,6 +285,20 @@
 	c *Client
 }
 
+// Read counts what comes.
+func (d *dialed) Read(p []byte) (int, error) {
+	n, err := d.Conn.Read(p)
+	d.c.read.Add(uint64(n))
+	return n, err
+}
+
+// Write counts what goes.
+func (d *dialed) Write(p []byte) (int, error) {
+	n, err := d.Conn.Write(p)
+	d.c.written.Add(uint64(n))
+	return n, err
+}
+
 // Close ends it.
 func (d *dialed) Close() error {
 	d.c.mu.Lock()
@@ -340,6 +363,7 @@
 	q.Header.SetMethod(fasthttp.MethodPost)
 	q.SetBodyRaw(fleet.Encode(m))
 	q.SetTimeout(within)
+	c.calls.Add(1)
 	if err = c.c.Do(q, r); err != nil {
 		return a, fmt.Errorf("%s: %w", addr, err)
 	}
--- a/internal/member/folder.go
+++ b/internal/member/folder.go
@@ -41,6 +41,9 @@
 // read gives what is there, and an empty history where nothing is.
 func (f *folder) read(name string) (*fleet.State, []fleet.Run) {
 	s := fleet.NewState(name)
+	if f.dir == "" {
+		return s, nil
+	}
 	if text, err := f.load(historyFile); err == nil {
 		if kept, err := fleet.Restore(text); err != nil || kept.Fleet() != name {
 			f.say(fmt.Errorf("%s: of no use: %w", historyFile, err))
@@ -67,6 +70,9 @@
 
 // write keeps both, if the folder is this process's: an older one of this member may still hold it.
 func (f *folder) write(s *fleet.State, runs []fleet.Run) {
+	if f.dir == "" {
+		return
+	}
 	if !f.held {
 		held, err := f.lock.TryLock()
 		if f.held = held; !held {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -26,8 +26,8 @@
 	Name    string
 	Address string
 	Alone   fleet.Alone
-	Voters  []fleet.Voter // as the operator's file has them; the history's go before
-	Folder  string
+	Voters  []fleet.Voter     // as the operator's file has them; the history's go before
+	Folder  string            // empty: it keeps nothing
 	Via     map[string]string // where addresses are found from here
 	Figures fleet.Figures
 	Program string // its version
@@ -67,6 +67,7 @@
 	self   *fleet.Self
 	rnd    *rand.Rand
 	leader string // address of the voter that last led
+	told   uint64 // the newest version, by the last beat's answer
 	runs   []fleet.Run
 	waits  string
 	fault  string // why it cannot follow
@@ -113,6 +114,15 @@
 	m.o.Council = c
 }
 
+// Traffic counts its calls and the bytes of them.
+func (m *Member) Traffic() (calls, read, written uint64) {
+	for _, c := range []*fleetlink.Client{m.client, m.polls} {
+		n, r, w := c.Traffic()
+		calls, read, written = calls+n, read+r, written+w
+	}
+	return calls, read, written
+}
+
 // council is that of this process; nil: none.
 func (m *Member) council() fleetlink.Council {
 	m.mu.Lock()
@@ -251,14 +261,15 @@
 		m.self.Renewed(sent, a.Renewal)
 		m.gate.stalled = 0
 		m.open()
-		behind := a.Renewal.Newest > m.self.State().Newest()
+		behind := m.told > m.self.State().Newest()
+		m.told = a.Renewal.Newest
 		m.mu.Unlock()
 		if a.Renewal.Granted == 0 && a.Renewal.Why != "" && a.Renewal.Again == 0 {
 			m.cannot(a.Renewal.Why)
 		} else {
 			m.cannot("")
 		}
-		if behind && !leaving { // the poll that is under way may hang in a link that is cut
+		if behind && !leaving { // for a beat already: the poll that is under way may hang in a link that is cut
 			m.fetch(addr, 0)
 		}
 		return a.Renewal.Again
