--- a/cmd/weldlab/main.go
+++ b/cmd/weldlab/main.go
@@ -24,17 +24,20 @@
 )
 
 type arguments struct {
-	Run     runCommand        `cmd:"" help:"Play one experiment and say what came of it."`
-	Compare compareCommand    `cmd:"" help:"Play two dispatchers over the same seeds: baselines in virtual time, or two builds on sockets."`
-	Sweep   sweepCommand      `cmd:"" help:"Play one experiment over a range of one value."`
-	Table   tableCommand      `cmd:"" help:"Play the dispatcher and all baselines on experiments over the same seeds."`
-	Theory  theoryCommand     `cmd:"" help:"Hold the model beside queueing theory."`
-	Storm   stormCommand      `cmd:"" help:"Play days with drawn faults between several processes, judged from outside."`
-	Fleet   fleetTableCommand `cmd:"" help:"Play a fleet's council and members in virtual time: how it grows, or many small ones with faults."`
-	Worlds  worldsCommand     `cmd:"" help:"Draw small worlds and troubles at random and hold the rules on each."`
-	Ceiling ceilingCommand    `cmd:"" help:"Raise the rate until one dispatcher adds too much of its own."`
-	Demo    demoCommand       `cmd:"" help:"A dispatcher among stand-ins on loopback, shown live; troubles by key."`
-	Report  reportCommand     `cmd:"" help:"Draw a page of plots from results."`
+	Run      runCommand        `cmd:"" help:"Play one experiment and say what came of it."`
+	Compare  compareCommand    `cmd:"" help:"Play two dispatchers over the same seeds: baselines in virtual time, or two builds on sockets."`
+	Sweep    sweepCommand      `cmd:"" help:"Play one experiment over a range of one value."`
+	Table    tableCommand      `cmd:"" help:"Play the dispatcher and all baselines on experiments over the same seeds."`
+	Theory   theoryCommand     `cmd:"" help:"Hold the model beside queueing theory."`
+	Storm    stormCommand      `cmd:"" help:"Play days with drawn faults between several processes, judged from outside."`
+	Fleet    fleetTableCommand `cmd:"" help:"Play a fleet's council and members in virtual time: how it grows, or many small ones with faults."`
+	Scale    scaleCommand      `cmd:"" help:"Measure how the program grows: real processes beside hollow ones, and the lines through what they cost."`
+	Capacity capacityCommand   `cmd:"" help:"What the size that is coming comes to, from slopes that runs have measured: the tables of docs/CAPACITY.md."`
+	Hollow   hollowCommand     `cmd:"" hidden:"" help:"A process of a scale run's: its task comes on standard input."`
+	Worlds   worldsCommand     `cmd:"" help:"Draw small worlds and troubles at random and hold the rules on each."`
+	Ceiling  ceilingCommand    `cmd:"" help:"Raise the rate until one dispatcher adds too much of its own."`
+	Demo     demoCommand       `cmd:"" help:"A dispatcher among stand-ins on loopback, shown live; troubles by key."`
+	Report   reportCommand     `cmd:"" help:"Draw a page of plots from results."`
 }
 
 const about = `Plays experiments (lab/*.toml) against the dispatcher: whole nodes in virtual time, or bin/weldmast on loopback
--- /dev/null
+++ b/cmd/weldlab/scale.go
@@ -0,0 +1,125 @@
+// This file owns the commands that measure how the program grows, and what the size that is coming comes to.
+
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"weldmast/internal/capacity"
+	"weldmast/internal/scale"
+)
+
+type scaleCommand struct {
+	Path    string `arg:"" name:"file" help:"The plan, as lab/capacity.toml."`
+	Program string `default:"bin/weldmast" help:"The dispatcher's program."`
+	Voter   string `default:"bin/weldmast-voter" help:"The program of voters."`
+	JSON    string `name:"json" placeholder:"PATH" help:"Write the result to this file; - for standard output instead of text."`
+	Plot    string `placeholder:"PATH" help:"Draw the fits into this file (SVG)."`
+}
+
+func (c *scaleCommand) Run(ctx context.Context, s *streams) error {
+	text, err := os.ReadFile(c.Path)
+	if err != nil {
+		return fmt.Errorf("plan: %w", err)
+	}
+	p, err := scale.Read(c.Path, text)
+	if err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return fmt.Errorf("scale: %w", err)
+	}
+	say := func(line string) { fmt.Fprintln(s.errs, line) }
+	r, err := scale.Play(ctx, p, scale.Options{Program: c.Program, Voter: c.Voter, Self: []string{self, "hollow"}, Tell: say})
+	if err != nil {
+		return err
+	}
+	if c.JSON != "" {
+		out, err := json.MarshalIndent(r, "", " ")
+		if err != nil {
+			return fmt.Errorf("scale: %w", err)
+		}
+		if c.JSON == "-" {
+			fmt.Fprintf(s.out, "%s\n", out)
+		} else if err := os.WriteFile(c.JSON, append(out, '\n'), 0o644); err != nil {
+			return fmt.Errorf("scale: %w", err)
+		}
+	}
+	if c.JSON != "-" {
+		fmt.Fprint(s.out, r.Text())
+	}
+	if c.Plot != "" {
+		if err := r.Plot(c.Plot); err != nil {
+			return err
+		}
+	}
+	switch {
+	case r.Void != "":
+		return fmt.Errorf("%w: %s", scale.ErrVoid, r.Void)
+	case r.Interrupted:
+		fmt.Fprintln(s.out, "interrupted: what was measured until then")
+	}
+	return nil
+}
+
+type hollowCommand struct{}
+
+func (hollowCommand) Run(ctx context.Context, s *streams) error {
+	return scale.Hollow(ctx, os.Stdin, s.out)
+}
+
+type capacityCommand struct {
+	Path string `arg:"" optional:"" name:"file" default:"docs/capacity/size.toml" help:"The size, what is assumed, and the slopes with their runs."`
+	JSON bool   `name:"json" help:"Print the tables as JSON."`
+	From string `placeholder:"RUN" help:"In place of the tables: the slopes of this run (JSON, beside the file), as the file has them."`
+}
+
+func (c *capacityCommand) Run(s *streams) error {
+	if c.From != "" {
+		return c.slopes(s)
+	}
+	sheet, err := capacity.Load(c.Path, os.ReadFile)
+	if err != nil {
+		return err
+	}
+	t, err := sheet.Tables()
+	if err != nil {
+		return err
+	}
+	if !c.JSON {
+		fmt.Fprint(s.out, t.Text())
+		return nil
+	}
+	text, err := json.MarshalIndent(t, "", " ")
+	if err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	fmt.Fprintf(s.out, "%s\n", text)
+	return nil
+}
+
+// slopes prints those of a run in the form of the file.
+func (c *capacityCommand) slopes(s *streams) error {
+	text, err := os.ReadFile(c.From)
+	if err != nil {
+		return fmt.Errorf("capacity: %w", err)
+	}
+	var r scale.Result
+	if err := json.Unmarshal(text, &r); err != nil {
+		return fmt.Errorf("capacity: %s: %w", c.From, err)
+	}
+	for _, x := range r.Slopes() {
+		f := x.Fit
+		if f.Points < 3 {
+			continue
+		}
+		fmt.Fprintf(s.out, "[[slope]]\nname = %q\nunit = %q\nrun = %q\nat = %s\neach = %s\nlow = %s\nhigh = %s\noff = %.3f\nto = %g\n\n", x.Name, x.Unit, filepath.Base(c.From), scale.Number(f.At),
+			scale.Number(f.Slope), scale.Number(f.Low), scale.Number(f.High), f.Off, f.X)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/capacity/capacity_test.go
@@ -0,0 +1,142 @@
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"weldmast/internal/scale"
+)
+
+// run is one whose leader costs 0.002 of a core a member, and as text.
+func run(t *testing.T) (*scale.Result, func(string) ([]byte, error)) {
+	t.Helper()
+	r := &scale.Result{}
+	for _, n := range []int{100, 200, 400} {
+		r.Points = append(r.Points, scale.Point{Series: "members", Size: n, Versions: 1.1, Published: 5, All: float64(n), Member: scale.Link{Calls: 4, Read: 600, Written: 400},
+			Roles: map[string]scale.Usage{"leader": {CPU: 0.002 * float64(n), MB: 20}}})
+	}
+	text, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, func(name string) ([]byte, error) {
+		if name != "run.json" {
+			return nil, fmt.Errorf("no file %s", name)
+		}
+		return text, nil
+	}
+}
+
+const leader = "[[slope]]\nname = \"leader_cpu@1.1\"\nunit = \"cores\"\nrun = \"run.json\"\nat = 0\neach = 0.002\nlow = 0.002\nhigh = 0.002\noff = 0\nto = 400\n"
+
+// TestRead: faults are told all at once, each with file, line and key; a slope has to be what its run gives.
+func TestRead(t *testing.T) {
+	_, open := run(t)
+	if _, err := Read("s.toml", []byte(leader), open); err != nil {
+		t.Error(err)
+	}
+	for name, c := range map[string]struct {
+		text string
+		want []string
+	}{
+		"cannot be read": {"[[size]]\nname = \"a\"\nvalue = \"many\"\n[[size]]\nname = \"b\"\nvalue = -1\nunit = \"x\"\n",
+			[]string{"s.toml:3: size.0.value: is a text, wanted a number", "s.toml:1: size.0.unit: is missing", "s.toml:6: size.1.value: -1 is below 0"}},
+		"no unit, twice, no reason": {"[[size]]\nname = \"a\"\nvalue = 1\nunit = \"\"\n[[assumption]]\nname = \"a\"\nvalue = 1\nunit = \"x\"\n",
+			[]string{"s.toml:4: size.0.unit: a has no unit", "s.toml:6: assumption.0.name: \"a\" is there twice", "s.toml:5: assumption.0: a: why it is assumed is missing"}},
+		"negative":             {strings.Replace(leader, "each = 0.002", "each = -0.002", 1), []string{"s.toml:6: slope.0.each: -0.002 is below 0"}},
+		"its run is not there": {strings.Replace(leader, "run.json", "other.json", 1), []string{"s.toml:4: slope.0.run: the slope leader_cpu@1.1 misses its run: no file other.json"}},
+		"not in its run":       {strings.Replace(leader, "leader_cpu@1.1", "leader_cpu@7", 1), []string{"s.toml:2: slope.0.name: the run run.json has no slope leader_cpu@7"}},
+		"another figure":       {strings.Replace(leader, "each = 0.002\n", "each = 0.001\n", 1), []string{"s.toml:1: slope.0: leader_cpu@1.1 is not what its run run.json gives"}},
+		"another unit":         {strings.Replace(leader, "cores", "MB", 1), []string{"s.toml:3: slope.0.unit: leader_cpu@1.1 is in MB, the run has it in cores"}},
+	} {
+		_, err := Read("s.toml", []byte(c.text), open)
+		for _, w := range c.want {
+			if err == nil || !strings.Contains(err.Error(), w) {
+				t.Errorf("%s: no %q in\n%v", name, w, err)
+			}
+		}
+	}
+}
+
+// TestLacks: what the arithmetic needs and the file does not say is named; no table comes of it.
+func TestLacks(t *testing.T) {
+	_, open := run(t)
+	s, err := Read("s.toml", []byte(leader), open)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := s.Tables(); err == nil || !strings.Contains(err.Error(), "schedulers") || !strings.Contains(err.Error(), "known_mb@100") {
+		t.Errorf("%v", err)
+	}
+}
+
+const sheet, page = "../../docs/capacity/size.toml", "../../docs/CAPACITY.md"
+
+// TestPage: the tables of the page are what the command prints, to the digit.
+func TestPage(t *testing.T) {
+	s, err := Load(sheet, os.ReadFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables, err := s.Tables()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(text), tables.Text()) {
+		t.Errorf("%s does not hold what bin/weldlab capacity prints:\n%s", page, tables.Text())
+	}
+}
+
+// TestArithmetic: rows against figures worked out by hand from the file's own slopes: a ratio is what we come to over its bound,
+// at half, once and double the schedulers; what is carried on beyond the run is called fitted.
+func TestArithmetic(t *testing.T) {
+	s, err := Load(sheet, os.ReadFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	tables, err := s.Tables()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := s.value("schedulers")
+	for k, size := range []float64{n / 2, n, 2 * n} {
+		if tables.Schedulers[k] != size {
+			t.Errorf("schedulers %v", tables.Schedulers)
+		}
+		for _, r := range tables.Lines {
+			if !strings.Contains(r.Line, "control at a scheduler: link") {
+				continue
+			}
+			for _, x := range s.Slopes {
+				if x.Name == "member_bytes@1.1" {
+					if want := x.At + x.Each*size; r.Comes[k] != want || r.Ratio[k] != want/s.value("control_bytes") {
+						t.Errorf("%s: %v and %v at %v, wanted %v", r.Line, r.Comes, r.Ratio, size, want)
+					}
+				}
+			}
+		}
+	}
+	last := 1e300
+	for _, r := range tables.Worst() {
+		if r.Ratio[1] > last {
+			t.Errorf("%s stands behind a smaller ratio", r.Line)
+		}
+		last = r.Ratio[1]
+	}
+	s.Slopes = append([]Slope{{Name: "x", At: 1, Each: 1, To: 10, Off: 0.3}, {Name: "y", At: 1, Each: 1, To: 10}}, s.Slopes...)
+	for name, want := range map[string]string{"x 5": "measured (x)", "x 20": "fitted, not held (x)", "y 20": "fitted (y)"} {
+		var slope string
+		var at float64
+		fmt.Sscan(name, &slope, &at)
+		if y, basis := s.line(slope, at); basis != want || y != 1+at {
+			t.Errorf("%s: %v, %s", name, y, basis)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/sheet.go
@@ -0,0 +1,158 @@
+// Package capacity works out what a size comes to, from slopes that runs have measured: a file says the size, what is assumed
+// and which slope comes from which run; the tables say what each line and each role come to, beside its bound. It is pure but
+// for Load, and must never hold a figure of its own: what is not in the file or in a run cannot come out.
+//
+// This file owns the file: what it may say, and whether its slopes are those of their runs.
+package capacity
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"path/filepath"
+
+	"weldmast/internal/scale"
+	"weldmast/internal/tomlfile"
+)
+
+// Quantity is a figure of the size, or an assumption.
+type Quantity struct {
+	Name  string  `toml:"name" need:"true"`
+	Value float64 `toml:"value" need:"true" min:"0"`
+	Unit  string  `toml:"unit" need:"true"`
+	Why   string  `toml:"why"`
+}
+
+// Slope is a line through points of a run.
+type Slope struct {
+	Name string  `toml:"name" need:"true"`
+	Unit string  `toml:"unit" need:"true"`
+	Run  string  `toml:"run" need:"true"` // beside the file
+	At   float64 `toml:"at" need:"true"`  // at size 0
+	Each float64 `toml:"each" need:"true" min:"0"`
+	Low  float64 `toml:"low"` // of the slope, 95%
+	High float64 `toml:"high"`
+	// Off is by which part the line through the other points misses the largest one.
+	Off float64 `toml:"off"`
+	// To is the largest size that was measured; beyond it the line is carried on.
+	To float64 `toml:"to" need:"true" min:"1"`
+}
+
+// Sheet is the file.
+type Sheet struct {
+	About       string     `toml:"about"`
+	Size        []Quantity `toml:"size"`
+	Assumptions []Quantity `toml:"assumption"`
+	Slopes      []Slope    `toml:"slope"`
+
+	missed []string // names that were asked for and are not there
+}
+
+// near tells whether a figure of the file is the run's, to the four digits that files are written with.
+func near(a, b float64) bool {
+	return math.Abs(a-b) <= 6e-4*max(math.Abs(a), math.Abs(b))+1e-12 || math.IsInf(a, 0) && math.IsInf(b, 0)
+}
+
+// Read makes a sheet of a file's text; open gives the text of a run that it names. An error lists every fault with its line and
+// key.
+func Read(file string, text []byte, open func(run string) ([]byte, error)) (*Sheet, error) {
+	s := &Sheet{}
+	d := tomlfile.Parse(file, text)
+	d.Decode(s)
+	if d.Err() != nil {
+		return nil, d.Err()
+	}
+	seen := map[string]bool{}
+	once := func(key, name, unit string) {
+		if name == "" || seen[name] {
+			d.Fault(key+".name", "%q is there twice, or is no name", name)
+		}
+		if seen[name] = true; unit == "" {
+			d.Fault(key+".unit", "%s has no unit", name)
+		}
+	}
+	for k, q := range s.Size {
+		once(fmt.Sprintf("size.%d", k), q.Name, q.Unit)
+	}
+	for k, q := range s.Assumptions {
+		once(fmt.Sprintf("assumption.%d", k), q.Name, q.Unit)
+		if q.Why == "" {
+			d.Fault(fmt.Sprintf("assumption.%d", k), "%s: why it is assumed is missing", q.Name)
+		}
+	}
+	runs := map[string]*scale.Result{}
+	for k, x := range s.Slopes {
+		key := fmt.Sprintf("slope.%d", k)
+		once(key, x.Name, x.Unit)
+		r := runs[x.Run]
+		if r == nil {
+			r = &scale.Result{}
+			text, err := open(x.Run)
+			if err == nil {
+				err = json.Unmarshal(text, r)
+			}
+			if err != nil {
+				d.Fault(key+".run", "the slope %s misses its run: %v", x.Name, err)
+				continue
+			}
+			runs[x.Run] = r
+		}
+		of, ok := r.Slope(x.Name)
+		switch {
+		case !ok:
+			d.Fault(key+".name", "the run %s has no slope %s", x.Run, x.Name)
+		case r.Void != "":
+			d.Fault(key+".run", "the run %s is void: %s", x.Run, r.Void)
+		case of.Unit != x.Unit:
+			d.Fault(key+".unit", "%s is in %s, the run has it in %s", x.Name, x.Unit, of.Unit)
+		case !near(x.At, of.Fit.At) || !near(x.Each, of.Fit.Slope) || !near(x.Low, of.Fit.Low) || !near(x.High, of.Fit.High) || math.Abs(x.Off-of.Fit.Off) > 0.006 || x.To != of.Fit.X:
+			d.Fault(key, "%s is not what its run %s gives: at %s, each %s, low %s, high %s, off %.2f, to %g", x.Name, x.Run, scale.Number(of.Fit.At),
+				scale.Number(of.Fit.Slope), scale.Number(of.Fit.Low), scale.Number(of.Fit.High), of.Fit.Off, of.Fit.X)
+		}
+	}
+	return s, d.Err()
+}
+
+// Load reads a file and the runs beside it.
+func Load(path string, read func(string) ([]byte, error)) (*Sheet, error) {
+	text, err := read(path)
+	if err != nil {
+		return nil, fmt.Errorf("capacity: %w", err)
+	}
+	return Read(path, text, func(run string) ([]byte, error) { return read(filepath.Join(filepath.Dir(path), run)) })
+}
+
+// value is a figure of the size or an assumption.
+func (s *Sheet) value(name string) float64 {
+	for _, all := range [][]Quantity{s.Size, s.Assumptions} {
+		for _, q := range all {
+			if q.Name == name {
+				return q.Value
+			}
+		}
+	}
+	s.missed = append(s.missed, name)
+	return math.NaN()
+}
+
+// line is what a slope comes to at a size, and how that is known.
+func (s *Sheet) line(name string, size float64) (y float64, basis string) {
+	for _, x := range s.Slopes {
+		if x.Name != name {
+			continue
+		}
+		basis = "measured"
+		switch {
+		case size > x.To && math.Abs(x.Off) > offMost:
+			basis = "fitted, not held"
+		case size > x.To:
+			basis = "fitted"
+		}
+		return x.At + x.Each*size, basis + " (" + name + ")"
+	}
+	s.missed = append(s.missed, name)
+	return math.NaN(), "missing"
+}
+
+// offMost is by how much the largest point may be off before its line may not be multiplied up.
+const offMost = 0.15
--- /dev/null
+++ b/internal/capacity/tables.go
@@ -0,0 +1,207 @@
+// This file owns the tables: each row's arithmetic. A ratio is what we come to over its bound; over 1 does not hold.
+
+package capacity
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"weldmast/internal/scale"
+)
+
+// Row is a line of the size, or a role.
+type Row struct {
+	Line    string     `json:"line"`
+	Carrier string     `json:"carrier"`         // the package, or missing
+	Bound   string     `json:"bound,omitempty"` // in words, with its figure
+	Unit    string     `json:"unit,omitempty"`
+	Comes   [3]float64 `json:"comes"` // at half, once and double the schedulers that are assumed
+	Ratio   [3]float64 `json:"ratio"` // to the bound; 0: there is none
+	Basis   string     `json:"basis"`
+	limit   float64
+}
+
+// Tables are all that a page shows.
+type Tables struct {
+	Schedulers [3]float64 `json:"schedulers"`
+	Lines      []Row      `json:"lines"`
+	Roles      []Row      `json:"roles"`
+	Failures   []Row      `json:"failures"`
+	Slopes     []Slope    `json:"-"`
+	Given      []Quantity `json:"-"`
+}
+
+// Missing is a carrier that is not there yet.
+const Missing = "**missing**"
+
+// Tables works the tables out; an error names what the file lacks.
+func (s *Sheet) Tables() (*Tables, error) {
+	t := &Tables{Slopes: s.Slopes, Given: append(slices.Clone(s.Size), s.Assumptions...)}
+	n := s.value("schedulers")
+	t.Schedulers = [3]float64{n / 2, n, 2 * n}
+	// row works one out at the three sizes.
+	row := func(line, carrier, unit, bound string, limit float64, of func(schedulers float64) (float64, string)) Row {
+		r := Row{Line: line, Carrier: carrier, Unit: unit, Bound: bound, limit: limit}
+		for k, size := range t.Schedulers {
+			var basis string
+			if r.Comes[k], basis = of(size); k == 0 || strings.HasPrefix(basis, "fitted") {
+				r.Basis = basis // the least that is known of any of the three
+			}
+			if limit > 0 {
+				r.Ratio[k] = r.Comes[k] / limit
+			}
+		}
+		return r
+	}
+	alike := func(x float64, basis string) func(float64) (float64, string) {
+		return func(float64) (float64, string) { return x, basis }
+	}
+	lack := func(line, what string) Row { return Row{Line: line, Carrier: Missing + ": " + what, Basis: "none"} }
+	slope := func(name string) func(float64) (float64, string) {
+		return func(size float64) (float64, string) { return s.line(name, size) }
+	}
+	control, memory, bytes := s.value("control_cpu"), s.value("control_memory"), s.value("control_bytes")
+	workers, starts, running, teams := s.value("workers"), s.value("starts"), s.value("running"), s.value("teams")
+	perStart := func() (float64, string) { // CPU seconds of a start where all workers are known
+		idle, _ := s.line("known_cpu@0", workers)
+		at, basis := s.line("known_cpu@100", workers)
+		return (at - idle) / 100, basis
+	}
+	idleCPU, idleBasis := s.line("known_cpu@0", workers)
+	knownMB, knownBasis := s.line("known_mb@100", workers)
+	cost, costBasis := perStart()
+	teamMB0, _ := s.line("team_mb@100", 0)
+	teamMB, teamBasis := s.line("team_mb@100", teams)
+
+	t.Lines = []Row{
+		row(fmt.Sprintf("%g workers known to each dispatcher: memory", workers), "internal/dispatch, internal/platform", "MB", fmt.Sprintf("%g MB", memory), memory, alike(knownMB, knownBasis)),
+		row("the same: processor time with no job", "internal/dispatch, internal/platform", "cores", fmt.Sprintf("%g of a core", control), control, alike(idleCPU, idleBasis)),
+		lack(fmt.Sprintf("%g accelerators", s.value("accelerators")), "a worker has a kind and slots, and no accelerators of which a job takes some"),
+		row(fmt.Sprintf("%g jobs a day", s.value("jobs_day")), "internal/dispatch", "starts/s a dispatcher", "what one core starts a second with all workers known", 1/cost,
+			func(n float64) (float64, string) { return s.value("jobs_day") / 86400 / n, costBasis }),
+		row(fmt.Sprintf("%g task starts a second at the peak", starts), "internal/dispatch", "cores a dispatcher", "1 core", 1,
+			func(n float64) (float64, string) { return idleCPU + cost*starts/n, costBasis }),
+		row(fmt.Sprintf("%g tasks running: clients that wait at a dispatcher", running), "internal/platform", "connections", "half of limits.sockets 1024", 512,
+			func(n float64) (float64, string) { return running / n, "arithmetic" }),
+		row("the same: tasks on one worker", "internal/dispatch (what fits is learned up to 16)", "tasks", "16", 16, alike(running/workers, "arithmetic")),
+		lack(fmt.Sprintf("gangs of up to %g", s.value("gang")), "work items start one by one; nothing holds workers for others"),
+		lack(fmt.Sprintf("%g teams: quotas", teams), "a tenant has an allowance a second, counted by each dispatcher alone; nobody holds its running tasks to a quota"),
+		row(fmt.Sprintf("%g teams: memory for their allowances", teams), "internal/dispatch", "MB", fmt.Sprintf("%g MB", memory), memory, alike(teamMB-teamMB0, teamBasis)),
+		lack(fmt.Sprintf("urgent work starts within %g s", s.value("urgent")), "credit orders what waits; nothing that runs gives way"),
+		lack(fmt.Sprintf("%g regions with %g zones: a council over regions", s.value("regions"), s.value("zones")), "zones are known to dispatch and the council's times are of one site; no run over far links"),
+		row(fmt.Sprintf("%.3g changes of configuration a second, in force everywhere", s.value("changes_day")/86400), "internal/council, internal/member", "ms to all", fmt.Sprintf("%g s", s.value("in_force")/1000),
+			s.value("in_force"), slope("in_force_all@1.1")),
+		row("control at a scheduler: processor time", "internal/member", "cores", fmt.Sprintf("%g of a core", control), control, slope("follower_cpu@1.1")),
+		row("control at a scheduler: memory", "internal/member", "MB", fmt.Sprintf("%g MB", memory), memory, slope("follower_mb@1.1")),
+		row("control at a scheduler: link", "internal/fleetlink, internal/member", "bytes/s", fmt.Sprintf("%g bytes/s", bytes), bytes, slope("member_bytes@1.1")),
+		row(fmt.Sprintf("%g machines for control: the leader's processor", s.value("control_machines")), "internal/council", "cores", "1 core: one goroutine leads", 1, slope("leader_cpu@1.1")),
+	}
+	t.Roles = []Row{
+		row("dispatcher, all workers known: processor time at the peak", "internal/dispatch, internal/node, internal/platform", "cores", "1 core", 1,
+			func(n float64) (float64, string) { return idleCPU + cost*starts/n, costBasis }),
+		row("dispatcher, all workers known: a round that starts a job", "internal/dispatch", "ms", "5 ms (settings.granularity)", 5, func(float64) (float64, string) { return s.line("round_start@0", workers) }),
+		row("dispatcher: memory", "the same", "MB", fmt.Sprintf("%g MB", memory), memory, alike(knownMB, knownBasis)),
+		row("leader: processor time", "internal/council", "cores", "1 core", 1, slope("leader_cpu@1.1")),
+		row("leader: memory", "internal/council, internal/fleet", "MB", "192 MB (limits.memory_mb)", 192, slope("leader_mb@1.1")),
+		row("leader: messages", "internal/fleetlink", "reads/s", "", 0, slope("leader_reads@1.1")),
+		row("leader: bytes", "internal/fleetlink", "bytes/s", "", 0, slope("leader_bytes@1.1")),
+		row("voter: processor time", "internal/council", "cores", "1 core", 1, slope("voter_cpu@1.1")),
+		row("voter: memory", "internal/council, internal/fleet", "MB", "192 MB", 192, slope("voter_mb@1.1")),
+		row("voter: bytes", "internal/fleetlink", "bytes/s", "", 0, slope("voter_bytes@1.1")),
+		row("follower: processor time", "internal/member", "cores", fmt.Sprintf("%g of a core", control), control, slope("follower_cpu@1.1")),
+		row("follower: memory", "internal/member", "MB", fmt.Sprintf("%g MB", memory), memory, slope("follower_mb@1.1")),
+		row("follower: calls", "internal/fleetlink", "1/s", "", 0, slope("member_calls@1.1")),
+		row("discovery's agent: the list that a dispatcher's start asks for", "outside; stand-in in internal/scale", "bytes", "", 0, alike(workers*s.value("entry_bytes"), "assumed (entry_bytes)")),
+		row("worker's side: hand-offs and callbacks of one worker", "internal/platform", "1/s", "", 0, alike(starts/workers*4, "arithmetic: a request, its 202, two callbacks")),
+		lack("gangs, quotas, accelerators: who holds capacity for them", "a reservation over dispatchers"),
+		lack("region: who carries history between regions", "a relay; all members call the voters themselves"),
+	}
+	restarts := s.value("restarts_day") + s.value("failures_day")
+	entry := s.value("admission_bytes")
+	t.Failures = []Row{
+		row(fmt.Sprintf("%g machines fail and %g are restarted a day: admissions told to all", s.value("failures_day"), s.value("restarts_day")), "internal/council, internal/member", "bytes/s a member",
+			fmt.Sprintf("%g bytes/s", bytes), bytes, func(n float64) (float64, string) {
+				return restarts / 86400 * entry * min(n/(workers+n)*s.value("spread"), 1), "assumed (admission_bytes, spread)"
+			}),
+		row("a rack or switch: schedulers that start at once", "internal/council", "admissions", "", 0, func(n float64) (float64, string) { return math.Ceil(n / s.value("racks")), "assumed (racks)" }),
+		row("a zone: schedulers that start at once", "internal/council", "admissions", "", 0, func(n float64) (float64, string) { return n / s.value("zones"), "arithmetic" }),
+		row("the same: workers that come back cold", "internal/dispatch", "workers", "", 0, alike(workers/s.value("zones"), "arithmetic")),
+		row("an hour between regions: entries that the cut part is behind", "internal/council (1024 entries are kept, then a snapshot)", "entries", "", 0,
+			alike(s.value("changes_day")/24, "arithmetic")),
+		row("the same: members that catch up by a snapshot, 16 at once", "internal/council", "members", "", 0, func(n float64) (float64, string) { return n / s.value("regions"), "arithmetic" }),
+	}
+	if len(s.missed) > 0 {
+		slices.Sort(s.missed)
+		return nil, fmt.Errorf("capacity: the file has no %s", strings.Join(slices.Compact(s.missed), ", "))
+	}
+	return t, nil
+}
+
+// Worst are the rows that have a bound and a carrier, worst first, by the ratio at the schedulers that are assumed.
+func (t *Tables) Worst() (all []Row) {
+	for _, r := range slices.Concat(t.Lines, t.Roles, t.Failures) {
+		if r.limit > 0 && !slices.ContainsFunc(all, func(x Row) bool { return x.Comes == r.Comes && x.Bound == r.Bound }) {
+			all = append(all, r)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b Row) int { return cmp.Compare(b.Ratio[1], a.Ratio[1]) })
+	return all
+}
+
+// Text is the tables as the page has them.
+func (t *Tables) Text() string {
+	var b strings.Builder
+	three := func(x [3]float64) string {
+		if x[0] == x[2] {
+			return scale.Number(x[1])
+		}
+		return scale.Number(x[0]) + ", " + scale.Number(x[1]) + ", " + scale.Number(x[2])
+	}
+	rows := func(head string, all []Row) {
+		fmt.Fprintf(&b, "| %s | carried by | bound | comes to | ratio | basis |\n| --- | --- | --- | --- | --- | --- |\n", head)
+		for _, r := range all {
+			comes, ratio := three(r.Comes)+" "+r.Unit, three(r.Ratio)
+			if strings.HasPrefix(r.Carrier, Missing) {
+				comes = ""
+			}
+			if r.limit == 0 {
+				ratio = ""
+			}
+			fmt.Fprintf(&b, "| %s | %s | %s | %s | %s | %s |\n", r.Line, r.Carrier, r.Bound, comes, ratio, r.Basis)
+		}
+		b.WriteByte('\n')
+	}
+	fmt.Fprintf(&b, "Three figures: with %s, %s and %s schedulers. One: the same with each.\n\n", scale.Number(t.Schedulers[0]), scale.Number(t.Schedulers[1]), scale.Number(t.Schedulers[2]))
+	b.WriteString("### Lines of the size\n\n")
+	rows("line", t.Lines)
+	b.WriteString("### Roles\n\n")
+	rows("role", t.Roles)
+	b.WriteString("### Failures\n\n")
+	rows("failure", t.Failures)
+	b.WriteString("### Worst first, of what exists\n\n| row | ratio |\n| --- | --- |\n")
+	for _, r := range t.Worst() {
+		fmt.Fprintf(&b, "| %s | %s |\n", r.Line, three(r.Ratio))
+	}
+	b.WriteString("\n### Slopes\n\n| slope | unit | at 0 | each | 95% of each | largest point | foretold from the others, off by | run |\n| --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	for _, x := range t.Slopes {
+		held := fmt.Sprintf("%+.0f%%", 100*x.Off)
+		if math.Abs(x.Off) > offMost {
+			held += ", no line"
+		}
+		fmt.Fprintf(&b, "| %s | %s | %s | %s | %s to %s | %g | %s | %s |\n", x.Name, x.Unit, scale.Number(x.At), scale.Number(x.Each), scale.Number(x.Low), scale.Number(x.High), x.To, held, x.Run)
+	}
+	b.WriteString("\n### Given and assumed\n\n| name | value | unit | |\n| --- | --- | --- | --- |\n")
+	for _, q := range t.Given {
+		why := q.Why
+		if why == "" {
+			why = "the size"
+		} else {
+			why = "assumed: " + why
+		}
+		fmt.Fprintf(&b, "| %s | %g | %s | %s |\n", q.Name, q.Value, q.Unit, why)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/scale/hollow.go
@@ -0,0 +1,399 @@
+// This file owns the hollow processes: members that follow a fleet's history by the program's own packages, workers that
+// take, answer and call back, and dispatchers that have discovery tell them. They do what a line on their standard input says,
+// and end with it.
+
+package scale
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/valyala/fasthttp"
+
+	"weldmast/internal/fleet"
+	"weldmast/internal/fleetlink"
+	"weldmast/internal/member"
+)
+
+// Task is what a hollow process is to be: its first line.
+type Task struct {
+	Members  *MembersTask  `json:"members,omitempty"`
+	Workers  *WorkersTask  `json:"workers,omitempty"`
+	Watchers *WatchersTask `json:"watchers,omitempty"`
+}
+
+// MembersTask is a number of members of one fleet.
+type MembersTask struct {
+	Fleet   string
+	Voters  []fleet.Voter
+	First   int
+	Count   int
+	Figures fleet.Figures
+	Apart   float64 // ms from one's beginning to the next one's
+}
+
+// WorkersTask is a number of workers, each with an address for each dispatcher.
+type WorkersTask struct {
+	First       int
+	Count       int
+	Port        int
+	Dispatchers []string
+	Run         float64 // ms that each job takes
+}
+
+// WatchersTask is a number of dispatchers that follow discovery's list.
+type WatchersTask struct {
+	Discovery string
+	Count     int
+}
+
+// Report is what a hollow process says of the time since the last one.
+type Report struct {
+	LateP99 float64 // ms by which its own timers were late
+	LateMax float64
+	Delays  []int // of each version at each member: microseconds from publish to in force
+	Unknown int   // versions that were passed over before anybody here knew when they were published
+	Behind  int   // members that do not have the newest version that is known here
+	Calls   uint64
+	Read    uint64 // bytes of the link
+	Written uint64
+	Jobs    int
+	Lines   int // that discovery told
+}
+
+// hollow is one process's part.
+type hollow interface {
+	report(*Report)
+	close()
+}
+
+// Hollow is a hollow process: it reads its task, says "ready", answers each further line with a report, and ends with its input.
+func Hollow(ctx context.Context, in io.Reader, out io.Writer) error {
+	slog.SetDefault(slog.New(slog.DiscardHandler))
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, 8<<20)
+	if !lines.Scan() {
+		return errors.New("hollow: no task")
+	}
+	var t Task
+	if err := json.Unmarshal(lines.Bytes(), &t); err != nil {
+		return fmt.Errorf("hollow: task: %w", err)
+	}
+	var h hollow
+	var err error
+	switch {
+	case t.Members != nil:
+		h, err = newMembers(t.Members)
+	case t.Workers != nil:
+		h, err = newWorkers(t.Workers)
+	case t.Watchers != nil:
+		h, err = newWatchers(t.Watchers)
+	default:
+		err = errors.New("hollow: a task of no kind")
+	}
+	if err != nil {
+		return err
+	}
+	defer h.close()
+	l := watchLate(ctx)
+	fmt.Fprintln(out, "ready")
+	for lines.Scan() && ctx.Err() == nil {
+		var r Report
+		l.report(&r)
+		h.report(&r)
+		if err := json.NewEncoder(out).Encode(r); err != nil {
+			return fmt.Errorf("hollow: %w", err)
+		}
+	}
+	return nil
+}
+
+// lateness is by how much the process's timers are late.
+type lateness struct {
+	mu   sync.Mutex
+	hist *hdrhistogram.Histogram
+}
+
+const lateEvery = 10 * time.Millisecond
+
+func watchLate(ctx context.Context) *lateness {
+	l := &lateness{hist: hdrhistogram.New(1, 60e6, 3)}
+	go func() {
+		for ctx.Err() == nil {
+			from := time.Now()
+			time.Sleep(lateEvery)
+			l.mu.Lock()
+			_ = l.hist.RecordValue(max(int64((time.Since(from)-lateEvery)/1000), 1)) // of a minute at most
+			l.mu.Unlock()
+		}
+	}()
+	return l
+}
+
+func (l *lateness) report(r *Report) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r.LateP99, r.LateMax = float64(l.hist.ValueAtQuantile(99))/1000, float64(l.hist.Max())/1000
+	l.hist.Reset()
+}
+
+// members are hollow members.
+type members struct {
+	clock  member.Clock
+	server *fleetlink.Server
+	all    []*member.Member
+
+	mu        sync.Mutex
+	published map[uint64]float64 // by version, on the clock of members
+	have      []uint64
+	delays    []int
+	unknown   int
+	newest    uint64
+	base      [3]uint64
+}
+
+// nobody answers operators at a hollow member.
+type nobody struct{}
+
+func (nobody) Ask(context.Context, fleetlink.Ask) fleetlink.Answer {
+	return fleetlink.Answer{NoLeader: true}
+}
+
+func newMembers(t *MembersTask) (*members, error) {
+	h := &members{clock: member.NewClock(), published: map[uint64]float64{}, have: make([]uint64, t.Count)}
+	l, err := net.Listen("tcp4", "127.0.4.1:0")
+	if err != nil {
+		return nil, fmt.Errorf("hollow: %w", err)
+	}
+	h.server = fleetlink.Serve(l, t.Fleet, fleetlink.Descriptors, nil, nobody{})
+	for k := range t.Count {
+		name := fmt.Sprintf("h%05d", t.First+k)
+		h.all = append(h.all, member.Start(member.Options{Fleet: t.Fleet, Name: name, Address: l.Addr().String(), Alone: fleet.Serve, Voters: t.Voters,
+			Figures: t.Figures, Program: "0.2.0", Run: fmt.Sprintf("%s-%d", name, time.Now().UnixNano()), Seed: uint64(t.First + k + 1), Clock: h.clock,
+			Bound: func() bool { return true }, Check: func([]byte) error { return nil },
+			Bring: func(v fleet.Version, applied func(string)) error { h.bring(k, v, applied); return nil }},
+			member.NewGate(h.clock, name)))
+		time.Sleep(time.Duration(t.Apart * 1e6))
+	}
+	return h, nil
+}
+
+// mark is where a version of the lab's says when it was published.
+const mark = `{"mark":"t`
+
+// Text is a version's, of so many bytes, published at the time.
+func Text(at float64, bytes int) []byte {
+	text := mark + strconv.FormatInt(int64(at*1000), 10) + `"`
+	return []byte(text + strings.Repeat(" ", max(bytes-len(text)-1, 0)) + "}")
+}
+
+// publishedAt reads it back.
+func publishedAt(text []byte) (at float64, ok bool) {
+	rest, ok := strings.CutPrefix(string(text[:min(len(text), 64)]), mark)
+	number, _, _ := strings.Cut(rest, `"`)
+	n, err := strconv.ParseInt(number, 10, 64)
+	return float64(n) / 1000, ok && err == nil
+}
+
+// bring notes that a version, and with it all before it, is in force at a member.
+func (h *members) bring(k int, v fleet.Version, applied func(string)) {
+	now := h.clock.Now()
+	h.mu.Lock()
+	if at, ok := publishedAt(v.Text); ok {
+		h.published[v.Number] = at
+	}
+	for n := h.have[k] + 1; n <= v.Number; n++ {
+		if at, ok := h.published[n]; ok {
+			h.delays = append(h.delays, int((now-at)*1000))
+		} else {
+			h.unknown++
+		}
+	}
+	h.have[k] = v.Number
+	h.newest = max(h.newest, v.Number)
+	h.mu.Unlock()
+	go applied("")
+}
+
+func (h *members) report(r *Report) {
+	now := [3]uint64{}
+	for _, m := range h.all {
+		calls, read, written := m.Traffic()
+		now[0], now[1], now[2] = now[0]+calls, now[1]+read, now[2]+written
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.Delays, r.Unknown, h.delays, h.unknown = h.delays, h.unknown, nil, 0
+	for _, n := range h.have {
+		if n < h.newest {
+			r.Behind++
+		}
+	}
+	r.Calls, r.Read, r.Written = now[0]-h.base[0], now[1]-h.base[1], now[2]-h.base[2]
+	h.base = now
+}
+
+func (h *members) close() {
+	var all sync.WaitGroup
+	for _, m := range h.all {
+		all.Go(m.Close)
+	}
+	all.Wait()
+	h.server.Close()
+}
+
+// workers are hollow workers.
+type workers struct {
+	t         *WorkersTask
+	listeners []net.Listener
+	calls     *fasthttp.Client
+	mu        sync.Mutex
+	jobs      int
+}
+
+// doorAt is the address of a worker for one dispatcher: all of 127.0.0.0/8 is loopback.
+func doorAt(dispatcher, worker, port int) string {
+	return fmt.Sprintf("127.%d.%d.%d:%d", 10+dispatcher, worker/250, 1+worker%250, port)
+}
+
+func workerName(worker int) string { return fmt.Sprintf("w%05d", worker) }
+
+func newWorkers(t *WorkersTask) (*workers, error) {
+	h := &workers{t: t, calls: &fasthttp.Client{MaxConnsPerHost: 256, MaxIdemponentCallAttempts: 1, ReadTimeout: 5 * time.Second, NoDefaultUserAgentHeader: true}}
+	server := &fasthttp.Server{Handler: h.take, NoDefaultServerHeader: true, IdleTimeout: 15 * time.Second, ReadBufferSize: 2048, Logger: silent{}}
+	for d := range t.Dispatchers {
+		for w := t.First; w < t.First+t.Count; w++ {
+			l, err := net.Listen("tcp4", doorAt(d, w, t.Port))
+			if err != nil {
+				h.close()
+				return nil, fmt.Errorf("hollow: %w", err)
+			}
+			h.listeners = append(h.listeners, l)
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						_ = server.ServeConn(c) // how a connection ends is of no account
+						c.Close()
+					}()
+				}
+			}()
+		}
+	}
+	return h, nil
+}
+
+type silent struct{}
+
+func (silent) Printf(string, ...any) {}
+
+// take takes a job and tells the dispatcher, by whose address of this worker it came, that it is done.
+func (h *workers) take(ctx *fasthttp.RequestCtx) {
+	ctx.SetStatusCode(fasthttp.StatusAccepted)
+	if !ctx.IsPost() {
+		ctx.SetStatusCode(fasthttp.StatusOK)
+		return
+	}
+	ip := ctx.LocalAddr().(*net.TCPAddr).IP.To4()
+	id, from := string(ctx.Request.Header.Peek("X-Request-Id")), workerName(int(ip[2])*250+int(ip[3])-1)
+	to := h.t.Dispatchers[int(ip[1])-10]
+	time.AfterFunc(time.Millisecond, func() { h.tell(to, id, from, "started") })
+	time.AfterFunc(time.Duration(h.t.Run*1e6), func() {
+		h.tell(to, id, from, "done")
+		h.mu.Lock()
+		h.jobs++
+		h.mu.Unlock()
+	})
+}
+
+func (h *workers) tell(to, id, from, state string) {
+	q, r := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(q)
+	defer fasthttp.ReleaseResponse(r)
+	q.SetRequestURI("http://" + to + "/callback")
+	q.Header.SetMethod(fasthttp.MethodPost)
+	q.SetBodyString(fmt.Sprintf(`{"id":%q,"from":%q,"state":%q,"result":"ok"}`, id, from, state))
+	_ = h.calls.Do(q, r) // a dispatcher that has gone asks no more
+}
+
+func (h *workers) report(r *Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.Jobs, h.jobs = h.jobs, 0
+}
+
+func (h *workers) close() {
+	for _, l := range h.listeners {
+		l.Close()
+	}
+}
+
+// watchers are hollow dispatchers at discovery.
+type watchers struct {
+	conns []net.Conn
+	mu    sync.Mutex
+	lines int
+	bytes uint64
+}
+
+func newWatchers(t *WatchersTask) (*watchers, error) {
+	h := &watchers{}
+	for range t.Count {
+		c, err := net.Dial("tcp4", t.Discovery)
+		if err != nil {
+			h.close()
+			return nil, fmt.Errorf("hollow: %w", err)
+		}
+		h.conns = append(h.conns, c)
+		go func() {
+			fmt.Fprint(c, "GET /v1/endpoints?watch=1 HTTP/1.1\r\nHost: discovery\r\n\r\n")
+			buf := make([]byte, 64<<10)
+			for {
+				n, err := c.Read(buf)
+				h.mu.Lock()
+				h.bytes += uint64(n)
+				h.lines += strings.Count(string(buf[:n]), "\n\r\n")
+				h.mu.Unlock()
+				if err != nil {
+					return
+				}
+			}
+		}()
+	}
+	return h, nil
+}
+
+func (h *watchers) report(r *Report) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.Lines, r.Read, h.lines, h.bytes = h.lines, h.bytes, 0, 0
+}
+
+func (h *watchers) close() {
+	for _, c := range h.conns {
+		c.Close()
+	}
+}
+
+// quantile of sorted values.
+func quantile(sorted []int, q float64) float64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return float64(sorted[min(int(q*float64(len(sorted))), len(sorted)-1)])
+}
--- /dev/null
+++ b/internal/scale/scale_test.go
@@ -0,0 +1,240 @@
+package scale
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"math"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+var program, voter string
+
+// TestMain builds the programs that runs measure, and is a hollow process where a run starts it as one.
+func TestMain(m *testing.M) {
+	if os.Getenv("WELDLAB_HOLLOW") != "" && len(os.Args) > 1 && os.Args[1] == "hollow" {
+		if err := Hollow(context.Background(), os.Stdin, os.Stdout); err != nil {
+			log.Fatal(err)
+		}
+		return
+	}
+	dir, err := os.MkdirTemp("", "scale")
+	if err != nil {
+		log.Fatal(err)
+	}
+	program, voter = filepath.Join(dir, "weldmast"), filepath.Join(dir, "weldmast-voter")
+	if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", dir, "../../cmd/weldmast", "../../cmd/weldmast-voter").CombinedOutput(); err != nil {
+		log.Fatalf("build: %v\n%s", err, out)
+	}
+	os.Setenv("WELDLAB_HOLLOW", "1")
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func options(tell func(string)) Options {
+	return Options{Program: program, Voter: voter, Self: []string{os.Args[0], "hollow"}, Tell: tell}
+}
+
+const small = `
+about = "small"
+voters = 3
+dispatchers = 2
+rate = 40
+fleet_workers = 4
+members = [8, 12, 16]
+versions = [2]
+grow = 100
+each = 4
+workers = [20, 40, 60]
+known_rate = 40
+watchers = 2
+teams = [2, 4, 6]
+settle = "200ms"
+measure = "1s"
+late = "2s"
+`
+
+func plan(t *testing.T, more ...string) *Plan {
+	t.Helper()
+	text := small
+	for _, m := range more {
+		key, _, _ := strings.Cut(m, " ")
+		var kept []string
+		for _, line := range strings.Split(text, "\n") {
+			if !strings.HasPrefix(line, key+" ") {
+				kept = append(kept, line)
+			}
+		}
+		text = strings.Join(kept, "\n") + m + "\n"
+	}
+	p, err := Read("small.toml", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// left are processes of a run that are still there.
+func left(t *testing.T) (all []string) {
+	t.Helper()
+	out, _ := exec.Command("ps", "-o", "pid=,args=", "--ppid", fmt.Sprint(os.Getpid())).Output()
+	for _, line := range strings.Split(string(out), "\n") {
+		if strings.Contains(line, filepath.Dir(program)) || strings.Contains(line, "hollow") {
+			all = append(all, line)
+		}
+	}
+	return all
+}
+
+// TestPlay: a small run has each point, with the roles that belong there; hollow members have each version in force, jobs are
+// served, and no process is left.
+func TestPlay(t *testing.T) {
+	r, err := Play(t.Context(), plan(t), options(nil))
+	if err != nil || r.Void != "" || r.Ends != "" {
+		t.Fatal(err, r)
+	}
+	if len(r.Points) != 3+6+6+3 {
+		t.Errorf("%d points", len(r.Points))
+	}
+	for _, p := range r.Points {
+		name := fmt.Sprint(p.Series, " ", p.Size, " ", p.Rate)
+		if p.Series == "rounds" && (p.RoundIdle <= 0 || p.RoundStart <= p.RoundIdle) {
+			t.Errorf("%s: %v ms with nothing, %v with a job", name, p.RoundIdle, p.RoundStart)
+		}
+		if p.Series == "members" {
+			if p.Roles["leader"].Processes != 1 || p.Roles["voter"].Processes != 2 || p.Roles["dispatcher"].Processes != 2 || p.Roles["follower"].Processes != 2 {
+				t.Errorf("%s: roles %v", name, p.Roles)
+			}
+			if p.Published == 0 || p.All <= 0 || p.All < p.P50 || p.Member.Calls < 3 || p.Member.Calls > 20 || p.Member.Read < 100 {
+				t.Errorf("%s: published %d, in force p50 %v all %v, a member %+v", name, p.Published, p.P50, p.All, p.Member)
+			}
+			if p.Roles["leader"].Reads < p.Member.Calls*float64(p.Size-7)/2 {
+				t.Errorf("%s: the leader reads %v times a second, each member calls %v times", name, p.Roles["leader"].Reads, p.Member.Calls)
+			}
+		}
+		if p.Rate > 0 && (p.Jobs < 20 || p.Served < p.Jobs*9/10) {
+			t.Errorf("%s: %d of %d jobs served", name, p.Served, p.Jobs)
+		}
+	}
+	if s, ok := r.Slope("leader_cpu@2"); !ok || s.Fit.Points != 3 || !strings.Contains(r.Text(), "leader_cpu@2") {
+		t.Errorf("no slope of the leader: %+v", s)
+	}
+	if err := r.Plot(filepath.Join(t.TempDir(), "p.svg")); err != nil {
+		t.Error(err)
+	}
+	if all := left(t); len(all) > 0 {
+		t.Errorf("left: %q", all)
+	}
+}
+
+// TestStop: a run that is interrupted has what it measured until then; one whose hollow process dies, or that passes its bound,
+// is void and says so. None leaves a process.
+func TestStop(t *testing.T) {
+	for name, change := range map[string]struct {
+		more []string
+		do   func(stop func())
+		void string
+	}{
+		"interrupted":          {nil, func(stop func()) { stop() }, ""},
+		"a hollow one dies":    {nil, func(func()) { kill(t) }, "hollow process ended by itself"},
+		"over its memory":      {[]string{"memory = 0.003", "real_mb = 0", "member_kb = 0", "worker_kb = 0"}, nil, "are the bound"},
+		"a hollow one is late": {[]string{`late = 1`, `members = [8, 12, 16]`}, func(func()) { freeze(t) }, "was late by"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			ctx, stop := context.WithCancel(t.Context())
+			defer stop()
+			done := 0
+			r, err := Play(ctx, plan(t, append(change.more, `workers = []`, `teams = []`)...), options(func(string) {
+				if done++; done == 2 && change.do != nil {
+					change.do(stop)
+				}
+			}))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if !strings.Contains(r.Void, change.void) || (r.Void == "") != (change.void == "") {
+				t.Errorf("void: %q, wanted %q", r.Void, change.void)
+			}
+			if change.void == "" && (!r.Interrupted || len(r.Points) != 2) {
+				t.Errorf("interrupted %v, %d points", r.Interrupted, len(r.Points))
+			}
+			if all := left(t); len(all) > 0 {
+				t.Errorf("left: %q", all)
+			}
+		})
+	}
+}
+
+// hollows are the ids of hollow processes.
+func hollows(t *testing.T) (all []int) {
+	for _, line := range left(t) {
+		var pid int
+		if strings.Contains(line, "hollow") {
+			fmt.Sscan(line, &pid)
+			all = append(all, pid)
+		}
+	}
+	return all
+}
+
+func kill(t *testing.T) {
+	_ = syscall.Kill(hollows(t)[0], syscall.SIGKILL)
+	time.Sleep(100 * time.Millisecond)
+}
+
+// freeze has a hollow process stand still for longer than it may be late.
+func freeze(t *testing.T) {
+	pid := hollows(t)[0]
+	_ = syscall.Kill(pid, syscall.SIGSTOP)
+	time.AfterFunc(700*time.Millisecond, func() { _ = syscall.Kill(pid, syscall.SIGCONT) })
+}
+
+// TestRead: all faults of a plan at once, each with its line and key.
+func TestRead(t *testing.T) {
+	_, err := Read("p.toml", []byte("voters = 2\nmembers = [3, 3]\nversions = [-1]\nprocesses = 2\nmeasur = 3\nlate = \"x\"\n"))
+	want := []string{"p.toml:3: versions.0: -1 is below 0", "p.toml:5: measur: is not known", "p.toml:6: late: \"x\" is no time"}
+	for _, w := range want {
+		if err == nil || !strings.Contains(err.Error(), w) {
+			t.Errorf("no %q in\n%v", w, err)
+		}
+	}
+	_, err = Read("p.toml", []byte("voters = 2\nmembers = [3, 3]\nprocesses = 2\n"))
+	for _, w := range []string{"p.toml:1: voters:", "p.toml:2: members.1: 3 does not grow", "p.toml:2: members.0: 3 are fewer", "versions: is missing", "p.toml:3: processes: the plan needs"} {
+		if err == nil || !strings.Contains(err.Error(), w) {
+			t.Errorf("no %q in\n%v", w, err)
+		}
+	}
+	p := plan(t, "member_kb = 1000000000")
+	if _, err := p.Look(); err == nil || !strings.Contains(err.Error(), "memory: the plan needs") {
+		t.Errorf("a plan over the machine: %v", err)
+	}
+	if _, err := Play(t.Context(), p, options(nil)); err == nil || errors.Is(err, ErrVoid) {
+		t.Errorf("played: %v", err)
+	}
+}
+
+// TestLine: the line, its interval and what the others foretell of the largest point, against figures worked out by hand.
+func TestLine(t *testing.T) {
+	f := Line([]float64{1, 2, 3, 4}, []float64{3, 5, 7, 10})
+	// Slope 2.3, at 0.5; residuals 0.2, -0.1, -0.4, 0.3: 0.3; spread 5; t(0.975, 2) 4.3027.
+	half := 4.302653 * math.Sqrt(0.3/2/5)
+	for what, x := range map[string][2]float64{"slope": {f.Slope, 2.3}, "at": {f.At, 0.5}, "low": {f.Low, 2.3 - half}, "high": {f.High, 2.3 + half}, "predicted": {f.Predicted, 9}, "off": {f.Off, -0.1}} {
+		if math.Abs(x[0]-x[1]) > 1e-6 {
+			t.Errorf("%s %v, wanted %v", what, x[0], x[1])
+		}
+	}
+	if f := Line([]float64{1, 2, 4}, []float64{1, 2, 8}); f.Holds() {
+		t.Errorf("what doubles beyond the line is taken for one: %+v", f)
+	}
+	if f := Line([]float64{1, 2, 3}, []float64{3, 2, 1}); f.Slope != 0 || f.At != 2 {
+		t.Errorf("a line that falls: %+v", f)
+	}
+}
--- /dev/null
+++ b/internal/scale/text.go
@@ -0,0 +1,201 @@
+// This file owns what a run says: its points, the lines through them, and a plot.
+
+package scale
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Slope is a line through points of one series: what of which role grows by what.
+type Slope struct {
+	Name string `json:"name"` // as capacity files name it
+	Unit string `json:"unit"` // of y, for each member, worker or team
+	Fit  Fit    `json:"fit"`
+}
+
+// figure is one that is drawn from a point; false: the point has none.
+type figure struct {
+	name, unit, series string
+	of                 func(p Point) (float64, bool)
+}
+
+func usage(role string, of func(Usage) float64) func(Point) (float64, bool) {
+	return func(p Point) (float64, bool) {
+		x, ok := p.Roles[role]
+		return of(x), ok
+	}
+}
+
+// figures are those that lines are drawn through. What comes in by system calls is what the links bring, for roles that do
+// nothing else.
+var figures = []figure{
+	{"leader_cpu", "cores", "members", usage("leader", func(u Usage) float64 { return u.CPU })},
+	{"leader_mb", "MB", "members", usage("leader", func(u Usage) float64 { return u.MB })},
+	{"leader_bytes", "bytes/s", "members", usage("leader", func(u Usage) float64 { return u.Read + u.Written })},
+	{"leader_reads", "1/s", "members", usage("leader", func(u Usage) float64 { return u.Reads })},
+	{"voter_cpu", "cores", "members", usage("voter", func(u Usage) float64 { return u.CPU })},
+	{"voter_mb", "MB", "members", usage("voter", func(u Usage) float64 { return u.MB })},
+	{"voter_bytes", "bytes/s", "members", usage("voter", func(u Usage) float64 { return u.Read + u.Written })},
+	{"follower_cpu", "cores", "members", usage("follower", func(u Usage) float64 { return u.CPU })},
+	{"follower_mb", "MB", "members", usage("follower", func(u Usage) float64 { return u.MB })},
+	{"dispatcher_cpu", "cores", "members", usage("dispatcher", func(u Usage) float64 { return u.CPU })},
+	{"member_bytes", "bytes/s", "members", func(p Point) (float64, bool) { return p.Member.Read + p.Member.Written, p.Member.Calls > 0 }},
+	{"member_calls", "1/s", "members", func(p Point) (float64, bool) { return p.Member.Calls, p.Member.Calls > 0 }},
+	{"in_force_p50", "ms", "members", func(p Point) (float64, bool) { return p.P50, p.Published > 0 }},
+	{"in_force_p99", "ms", "members", func(p Point) (float64, bool) { return p.P99, p.Published > 0 }},
+	{"in_force_all", "ms", "members", func(p Point) (float64, bool) { return p.All, p.Published > 0 }},
+	{"round_idle", "ms", "rounds", func(p Point) (float64, bool) { return p.RoundIdle, true }},
+	{"round_start", "ms", "rounds", func(p Point) (float64, bool) { return p.RoundStart, true }},
+	{"known_cpu", "cores", "workers", usage("dispatcher", func(u Usage) float64 { return u.CPU })},
+	{"known_mb", "MB", "workers", usage("dispatcher", func(u Usage) float64 { return u.MB })},
+	{"team_cpu", "cores", "teams", usage("dispatcher", func(u Usage) float64 { return u.CPU })},
+	{"team_mb", "MB", "teams", usage("dispatcher", func(u Usage) float64 { return u.MB })},
+}
+
+// Slopes are the lines through a run's points: one for each figure, at each rate of versions or jobs that was played. The
+// name tells the rate: leader_cpu@1.1.
+func (r *Result) Slopes() (all []Slope) {
+	for _, f := range figures {
+		x, y := map[float64][]float64{}, map[float64][]float64{}
+		var rates []float64
+		for _, p := range r.Points {
+			rate := p.Rate
+			if p.Series == "members" {
+				rate = p.Versions
+			}
+			v, ok := f.of(p)
+			if p.Series != f.series || !ok {
+				continue
+			}
+			if !slices.Contains(rates, rate) {
+				rates = append(rates, rate)
+			}
+			x[rate], y[rate] = append(x[rate], float64(p.Size)), append(y[rate], v)
+		}
+		slices.Sort(rates)
+		for _, rate := range rates {
+			if len(x[rate]) >= 2 {
+				all = append(all, Slope{fmt.Sprintf("%s@%g", f.name, rate), f.unit, Line(x[rate], y[rate])})
+			}
+		}
+	}
+	return all
+}
+
+// Slope is the one of a name.
+func (r *Result) Slope(name string) (s Slope, ok bool) {
+	all := r.Slopes()
+	k := slices.IndexFunc(all, func(s Slope) bool { return s.Name == name })
+	if k < 0 {
+		return s, false
+	}
+	return all[k], true
+}
+
+// Number prints a figure to four digits.
+func Number(x float64) string {
+	switch a := math.Abs(x); {
+	case math.IsInf(x, 0) || math.IsNaN(x):
+		return "none"
+	case a == 0:
+		return "0"
+	case a >= 1000:
+		return fmt.Sprintf("%.0f", x)
+	case a < 0.001:
+		return fmt.Sprintf("%.3e", x)
+	}
+	return fmt.Sprintf("%.4g", x)
+}
+
+// Text is a run for people.
+func (r *Result) Text() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\n%d cores, %.0f MB; %d processes and %.0f MB at most of %.0f allowed; %.0f s\n", r.Plan, r.Machine.Cores, r.Machine.MemoryMB, r.MostProcs, r.MostMB, r.Machine.BoundMB, r.Seconds)
+	if r.Void != "" {
+		fmt.Fprintf(&b, "VOID: %s\n", r.Void)
+	}
+	if r.Ends != "" {
+		fmt.Fprintf(&b, "ends at %s\n", r.Ends)
+	}
+	b.WriteString("\nseries   size  per s  role         n  cores    MB     read B/s  written B/s  reads/s  writes/s\n")
+	for _, p := range r.Points {
+		if p.Series == "rounds" {
+			fmt.Fprintf(&b, "rounds  %5d  a round of the decisions alone: %.4f ms with nothing, %.4f ms with a job\n", p.Size, p.RoundIdle, p.RoundStart)
+			continue
+		}
+		var roles []string
+		for name := range p.Roles {
+			roles = append(roles, name)
+		}
+		slices.Sort(roles)
+		for _, name := range roles {
+			u := p.Roles[name]
+			fmt.Fprintf(&b, "%-7s %5d  %5g  %-10s %3d  %.4f  %6.1f  %9.0f  %9.0f  %7.0f  %7.0f\n", p.Series, p.Size, max(p.Versions, b2f(p.Series != "members")*p.Rate), name, u.Processes, u.CPU, u.MB,
+				u.Read, u.Written, u.Reads, u.Writes)
+		}
+		if p.Member.Calls > 0 {
+			fmt.Fprintf(&b, "        a hollow member: %.2f calls, %.0f bytes read, %.0f written a second; published %d, in force p50 %.0f p99 %.0f all %.0f ms, unknown %d, behind at the end %d\n",
+				p.Member.Calls, p.Member.Read, p.Member.Written, p.Published, p.P50, p.P99, p.All, p.Unknown, p.Behind)
+		}
+		fmt.Fprintf(&b, "        jobs %d, served %d; hollow timers late by %.1f ms at p99; machine %.0f%% busy, %.0f MB\n", p.Jobs, p.Served, p.LateP99, 100*p.Busy, p.TotalMB)
+	}
+	b.WriteString("\nslope                 unit      at 0       each       95% interval             largest  predicted  measured  off\n")
+	for _, s := range r.Slopes() {
+		f := s.Fit
+		fmt.Fprintf(&b, "%-21s %-8s %9s  %9s  %9s to %9s  %7.0f  %9s  %9s  %+.0f%%\n", s.Name, s.Unit, Number(f.At), Number(f.Slope), Number(f.Low), Number(f.High), f.X,
+			Number(f.Predicted), Number(f.Measured), 100*f.Off)
+	}
+	return b.String()
+}
+
+func b2f(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// Plot draws each figure of the members' and the workers' series, as part of its largest value, into an SVG file.
+func (r *Result) Plot(path string) error {
+	pl := plot.New()
+	pl.Title.Text = "How it grows: each figure as part of its largest"
+	pl.X.Label.Text = "size, as part of the largest"
+	pl.Legend.Top, pl.Legend.Left = true, true
+	var lines []any
+	for _, f := range figures {
+		var pts plotter.XYs
+		for _, p := range r.Points {
+			if v, ok := f.of(p); ok && p.Series == f.series && (p.Series != "members" || p.Versions > 0) {
+				pts = append(pts, plotter.XY{X: float64(p.Size), Y: v})
+			}
+		}
+		slices.SortStableFunc(pts, func(a, b plotter.XY) int { return cmp.Compare(a.X, b.X) })
+		mx, my := 0., 0.
+		for _, p := range pts {
+			mx, my = max(mx, p.X), max(my, p.Y)
+		}
+		if len(pts) < 2 || my == 0 {
+			continue
+		}
+		for k := range pts {
+			pts[k].X, pts[k].Y = pts[k].X/mx, pts[k].Y/my
+		}
+		lines = append(lines, f.name, pts)
+	}
+	if err := plotutil.AddLinePoints(pl, lines...); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	if err := pl.Save(24*vg.Centimeter, 16*vg.Centimeter, path); err != nil {
+		return fmt.Errorf("plot: %w", err)
+	}
+	return nil
+}
