--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -236,6 +236,7 @@
 	within := time.Duration(2 * m.o.Figures.Beat * 1e6)
 	m.mu.Lock()
 	b, tries := m.message(leaving), m.voters()
+	trouble := m.leader == "" || b.Stalled > 0 // the beat before failed, or this process stood still: its poll may hang
 	if m.leader != "" {
 		tries = append([]string{m.leader}, slices.DeleteFunc(tries, func(a string) bool { return a == m.leader })...)
 	}
@@ -261,15 +262,20 @@
 		m.self.Renewed(sent, a.Renewal)
 		m.gate.stalled = 0
 		m.open()
-		behind := m.told > m.self.State().Newest()
-		m.told = a.Renewal.Newest
+		newest := m.told
+		if m.told = a.Renewal.Newest; trouble {
+			newest = m.told
+		}
+		behind := newest > m.self.State().Newest()
 		m.mu.Unlock()
 		if a.Renewal.Granted == 0 && a.Renewal.Why != "" && a.Renewal.Again == 0 {
 			m.cannot(a.Renewal.Why)
 		} else {
 			m.cannot("")
 		}
-		if behind && !leaving { // for a beat already: the poll that is under way may hang in a link that is cut
+		// For a beat already, or after trouble: the poll that is under way may hang in a link that is cut, but else it is about to
+		// bring what a lot was gathered for.
+		if behind && !leaving {
 			m.fetch(addr, 0)
 		}
 		return a.Renewal.Again
