A draw looks at some of very many workers, not at all of them

Change: a part of more than 256 workers is cut into pools by kind, near and far; a draw looks on from a place and by a stride drawn each round until 256 fit; each found stands for its part of those not looked at; none that fits is missed. A message finds the workers that it may name by index; the first of a key's order no longer need all sorted.

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -4,7 +4,7 @@
 //
 // Call Round(now, in, out) whenever something came in: it has in call the plain methods below (Arrived,
 // Answered, ...), then places what is held; decisions go straight to out. The interface lives in port.go,
-// what is remembered in state.go, the form of messages between siblings in siblings.go.
+// what is remembered in state.go and pools.go, the form of messages between siblings in siblings.go.
 package dispatch
 
 import (
@@ -42,6 +42,7 @@
 	tenantSpan = 5000  // time over which a tenant's arrivals are counted
 	weighSpan  = 60000 // time over which this dispatcher's traffic is weighed against that of siblings
 	fadesIn    = 1e4   // a worker's own speed fades back to its kind's over this time
+	many       = 256   // workers beyond which a draw looks at some; of each pool as many that fit are enough
 )
 
 // Round takes in what came in and decides. Nothing is decided outside it.
@@ -102,6 +103,7 @@
 			d.part = append(d.part, w)
 		}
 	}
+	d.pool()
 }
 
 // tell lets those that share the worker know of a hand-off that lasts, and for how long; no span tells that
@@ -508,7 +510,7 @@
 	if it.cat.Repeat != Rerunnable || !d.f.mayCancel || it.stream || len(it.hos) >= d.f.maxHandOffs {
 		return
 	}
-	from := d.part
+	from := d.some()
 	if it.key != 0 {
 		from = d.home(it.key).workers
 	}
@@ -634,15 +636,9 @@
 	if len(d.held) == 0 || !d.stirred && !d.arrived {
 		return
 	}
-	d.ready, d.pressed, d.suspects = d.ready[:0], true, false
-	for _, w := range d.part {
-		d.suspects = d.suspects || d.suspected(w)
-		if d.hasCredit(w) {
-			d.ready = append(d.ready, w)
-		}
-	}
+	some := d.survey()
 	for _, it := range slices.Clone(d.held) {
-		if !it.held || it.seen && !d.stirred || len(d.ready) > 0 && d.choose(it) {
+		if !it.held || it.seen && !d.stirred || some && d.choose(it) {
 			continue
 		}
 		// Capacity is short: what lies beyond a tenant's share gives way first. Then what comes too late.
@@ -679,7 +675,7 @@
 		lane = 1
 	}
 	for k := range 4 {
-		if d.pressed = k >= 2; k%2 > 0 && !d.suspects {
+		if d.wanted = sure - credit(k/2); k%2 > 0 && !d.suspects {
 			continue
 		}
 		for _, l := range [2]int{lane, 1 - lane} {
@@ -698,22 +694,19 @@
 
 // draw takes a kind of the lane by capacity, then a worker uniformly within the kind; a key narrows the draw
 // to its homes. Workers that would be drawn again at once are left out beforehand, which comes to the same.
+// Of very many it looks at some, until enough fit: these stand for the others, and none that fits is missed.
 func (d *Dispatcher) draw(it *item, lane int, near, suspects bool) *worker {
 	d.fit = d.fit[:0]
-	mean, total, from, most := 0.0, 0.0, d.ready, len(d.ready)
+	fits := func(w *worker) bool {
+		return d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) &&
+			(suspects || !d.suspected(w)) && d.useful(it, w)
+	}
 	if it.key != 0 {
-		from, most = d.home(it.key).workers, d.home(it.key).most[lane]
-	}
-	for _, w := range from {
-		if d.kinds[w.Kind].lane == lane && (!near || w.Zone == d.f.zone) &&
-			(suspects || !d.suspected(w)) && d.useful(it, w) {
-			mean += float64(d.load(w))
-			if d.fit = append(d.fit, w); len(d.fit) == most {
-				break
-			}
-		}
+		d.gather(d.home(it.key).workers, d.home(it.key).most[lane], fits)
+	} else {
+		d.gatherMany(it, lane, near, fits)
 	}
-	mean /= float64(len(d.fit))
+	mean, total := d.meanLoad(), 0.0
 	d.fit = slices.DeleteFunc(d.fit, func(w *worker) bool { return float64(d.load(w)) > mean })
 	for _, w := range d.fit {
 		total += d.weight(w)
@@ -748,38 +741,43 @@
 		}
 	}
 	for lane, o := range order {
-		slices.SortFunc(o, func(a, b *worker) int { return cmp.Compare(a.far, b.far) })
 		part := (count - math.Sqrt(count)) / float64(len(d.keys)) // less what may be chance
 		h.most[lane] = max(1, int(math.Round(spare*part*float64(len(o)))))
-		h.workers = append(h.workers, o[:min(len(o), 2*h.most[lane])]...)
+		h.workers = append(h.workers, nearest(o, 2*h.most[lane])...)
 	}
 	d.homes[key] = h
 	return h
 }
 
-// weight is a worker's in the draw: its kind's capacity, and less of it while the list has dropped it.
+// weight is a worker's in the draw: its kind's capacity, and less of it while the list has dropped it; times
+// the workers that it stands for.
 func (d *Dispatcher) weight(w *worker) float64 {
 	if w.dropped {
-		return w.step * d.kinds[w.Kind].each
+		return w.step * d.kinds[w.Kind].each * w.standsFor
 	}
-	return d.kinds[w.Kind].each
+	return d.kinds[w.Kind].each * w.standsFor
 }
 
-// hasCredit: a worker earns credit by starting and answering what it was given. One hand-off that has not
-// started takes it away, and so do failures in a row and standing still.
-func (d *Dispatcher) hasCredit(w *worker) bool {
+// credit: a worker earns it by starting and answering what it was given. One hand-off that has not started
+// takes it away, and so do failures in a row and standing still.
+func (d *Dispatcher) credit(w *worker) credit {
 	k := &d.kinds[w.Kind]
 	trial := w.fails > 0 // one at a time
 	if w.State != Up || w.waiting > 0 || trial && w.running > 0 || d.now < w.full || d.ejected(w) {
-		return false
+		return none
+	}
+	switch n, r := d.load(w), &k.room[d.sight]; {
+	case n <= r.more:
+		return sure
+	case n <= r.most || n == r.most+1 && d.now >= r.explore:
+		return likely
 	}
-	n, r := d.load(w), &k.room[d.sight]
-	return n <= r.more || d.pressed && (n <= r.most || n == r.most+1 && d.now >= r.explore)
+	return none
 }
 
 // useful tells whether the draw may stop at this worker for this item.
 func (d *Dispatcher) useful(it *item, w *worker) bool {
-	if !d.hasCredit(w) || it.cat.Kind >= 0 && it.cat.Kind != w.Kind {
+	if d.credit(w) < d.wanted || it.cat.Kind >= 0 && it.cat.Kind != w.Kind {
 		return false
 	}
 	if n := len(it.hos); n > 0 && it.hos[n-1].w == w { // it just failed or waited there
--- /dev/null
+++ b/internal/dispatch/pools_test.go
@@ -0,0 +1,214 @@
+package dispatch
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+)
+
+// wide starts a dispatcher that knows so many workers of each kind, listed kind by kind, every fourth in its own zone.
+func wide(t *testing.T, s Settings, counts ...int) *trace {
+	t.Helper()
+	tr := start(t, s)
+	tr.at(1, func(d *Dispatcher) {
+		var list []Entry
+		for k, n := range counts {
+			for w := range n {
+				list = append(list, Entry{Worker: fmt.Sprintf("%c%d", 'a'+k, w), Kind: k, Zone: len(list) % 4})
+			}
+		}
+		d.Listed(Complete, list)
+	})
+	return tr
+}
+
+// TestManyNoneMissed: with more workers than a draw looks at, work finds one exactly if any of them all may take it, whatever
+// they are busy with, and none that may not.
+func TestManyNoneMissed(t *testing.T) {
+	found, missed := 0, 0
+	for seed := range uint64(400) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		s := plain()
+		s.Seed, s.Kinds, s.NearFirst = seed, 3, seed%2 == 0
+		tr := wide(t, s, 1+r.IntN(1200), 1+r.IntN(1200), many)
+		d := tr.d
+		d.mean, d.cutoff = 20, 20
+		for k := range d.kinds {
+			d.kinds[k].lane, d.kinds[k].each = k%2, 1+float64(k)
+			d.kinds[k].room[seen].most, d.kinds[k].room[seen].more = 2, 1
+			d.kinds[k].room[seen].explore = math.Inf(1)
+		}
+		for _, w := range d.part { // most are taken, or each has credit and is too slow for the time; which stand out differs
+			if w.waiting = 1; seed%4 == 0 {
+				w.waiting, w.slow, w.slowAt = 0, 5, d.now
+			}
+			if r.IntN(700) > 0 {
+				continue
+			}
+			w.slow = 0
+			switch w.waiting = 0; r.IntN(6) {
+			case 0:
+				w.running = 1 + r.IntN(4)
+			case 1:
+				w.fails = 1
+			case 2:
+				w.suspectTill = d.now + 100
+			case 3:
+				w.slow, w.slowAt = 5, d.now
+			case 4:
+				w.State = Draining
+			}
+		}
+		it := &item{WorkItem: WorkItem{ID: seed, Hint: 40 * r.Float64()}, cat: &s.Categories[r.IntN(2)], expiry: d.now + 5000, until: d.now + 300}
+		if r.IntN(3) == 0 {
+			cat := *it.cat
+			cat.Kind, it.cat = r.IntN(3), &cat
+		}
+		d.wanted = likely
+		var may []*worker
+		for _, w := range d.part {
+			if d.useful(it, w) {
+				may = append(may, w)
+			}
+		}
+		d.survey()
+		if got := d.choose(it); got != (len(may) > 0) || got && !slices.Contains(may, it.hos[0].w) {
+			t.Fatalf("seed %d: sent on %v, %d workers may take it, %v", seed, got, len(may), it.hos)
+		}
+		if len(may) > 0 {
+			found++
+		} else {
+			missed++
+		}
+	}
+	if found < 50 || missed < 50 {
+		t.Errorf("of the cases %d had a worker and %d had none: too few of one", found, missed)
+	}
+}
+
+// TestManyEven: of more workers than a draw looks at each is drawn as often, wherever it stands in the list, near or far, as
+// where all are looked at.
+func TestManyEven(t *testing.T) {
+	s := plain()
+	s.Categories[0].Due = 5000
+	const items, workers = 30000, 1500
+	tr := wide(t, s, workers)
+	for id := range uint64(items) {
+		tr.run(id, 0, 20, 2)
+	}
+	near, chi := 0, 0.
+	for w := range workers {
+		n := tr.sum[fmt.Sprintf("a%d", w)]
+		if w%4 == s.Zone {
+			near += n
+		}
+		chi += (float64(n) - items/workers) * (float64(n) - items/workers) / (items / workers)
+	}
+	if share := float64(near) / items; share < 0.24 || share > 0.26 { // looked at in two pools; counted by what was looked at alone: 0.5
+		t.Errorf("the quarter of the workers that is near got %.3f of the work", share)
+	}
+	if z := (chi - (workers - 1)) / math.Sqrt(2*(workers-1)); z > 4 {
+		t.Errorf("%.1f deviations from even", z)
+	}
+}
+
+// TestManyLooked: while most workers have credit a round looks at as many as it needs, however many there are; of a batch
+// that comes at once each goes to another.
+func TestManyLooked(t *testing.T) {
+	looked := func(n int) (most int) {
+		tr := wide(t, plain(), n, n)
+		for id := range uint64(20) {
+			tr.at(tr.now+5, func(d *Dispatcher) {
+				for k := range uint64(10) {
+					d.Arrived(WorkItem{ID: 10*id + k, Tenant: -1, Left: 5000, Hint: 20})
+				}
+			})
+			count := 0
+			for k := range tr.d.pools {
+				count += tr.d.pools[k].looked
+			}
+			most = max(most, count)
+		}
+		if len(tr.sum) != 200 {
+			t.Errorf("%d workers: 200 work items went to %d of them", 2*n, len(tr.sum))
+		}
+		racks := map[int]bool{} // of the list's first kind, by tens: neighbours there stand side by side
+		tr.at(tr.now+5, func(d *Dispatcher) {
+			for k := range uint64(100) {
+				d.Arrived(WorkItem{ID: 1000 + k, Tenant: -1, Left: 5000, Hint: 20})
+			}
+		})
+		for _, it := range tr.d.open[len(tr.d.open)-100:] {
+			var number int
+			fmt.Sscanf(it.hos[0].w.Worker[1:], "%d", &number)
+			racks[number*20/n] = true
+		}
+		if len(racks) < 15 {
+			t.Errorf("%d workers: a batch of 100 went to %d of 20 neighbourhoods", 2*n, len(racks))
+		}
+		return most
+	}
+	few, lots := looked(1000), looked(9000)
+	if bound := 4 * (many + 200); few > bound || lots > bound {
+		t.Errorf("a round looked at %d of 2,000 workers, and at %d of 18,000; no more than %d were wanted", few, lots, bound)
+	}
+}
+
+// TestNearest: the first of a key's order are the same however they are found.
+func TestNearest(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	for _, n := range []int{0, 1, 2, 5, 40, 300} {
+		of := make([]*worker, 300)
+		for k := range of {
+			of[k] = &worker{far: r.Float64()}
+		}
+		all := slices.Clone(of)
+		slices.SortFunc(all, func(a, b *worker) int {
+			if a.far < b.far {
+				return -1
+			}
+			return 1
+		})
+		if got := nearest(of, n); !slices.Equal(got, all[:n]) {
+			t.Errorf("the first %d of 300 are not those in order", n)
+		}
+	}
+}
+
+// TestManyNear: where crossing to another zone has a price, of many workers the near ones are drawn first.
+func TestManyNear(t *testing.T) {
+	s := plain()
+	s.NearFirst = true
+	tr := wide(t, s, 1000)
+	for id := range uint64(100) {
+		tr.run(id, 0, 20, 2)
+	}
+	for name := range tr.sum {
+		var number int
+		if fmt.Sscanf(name[1:], "%d", &number); number%4 != 0 {
+			t.Errorf("%s of another zone got work while all near ones were free", name)
+		}
+	}
+}
+
+// TestNamed: a message is understood of workers that came after others were named.
+func TestNamed(t *testing.T) {
+	s := plain()
+	s.Siblings, s.MayTell = 2, true
+	tr := wide(t, s, 300)
+	tell := func(id string) int {
+		w := tr.d.byID[id]
+		tr.at(tr.now+5, func(d *Dispatcher) { d.Heard(1, []byte{byte(w.hash >> 8), byte(w.hash), 200}) })
+		return len(w.theirs)
+	}
+	if n := tell("a7"); n != 1 {
+		t.Errorf("%d hand-offs were heard of at a worker", n)
+	}
+	tr.at(tr.now+5, func(d *Dispatcher) { d.Listed(Changes, []Entry{{Worker: "new"}}) })
+	if n := tell("new"); n != 1 {
+		t.Errorf("%d hand-offs were heard of at a worker that came later", n)
+	}
+	tr.at(tr.now+5, func(d *Dispatcher) { d.Heard(1, nil) }) // nothing to be named
+}
--- a/internal/dispatch/siblings.go
+++ b/internal/dispatch/siblings.go
@@ -46,6 +46,20 @@
 	return math.Exp2(float64(data[2]) / 16), true
 }
 
+// named are the workers of the part that a message may name.
+func (d *Dispatcher) named(data []byte) []*worker {
+	if len(data) < 2 {
+		return nil
+	}
+	if d.names == nil {
+		d.names = map[uint16][]*worker{}
+		for _, w := range d.part {
+			d.names[uint16(w.hash)] = append(d.names[uint16(w.hash)], w)
+		}
+	}
+	return d.names[uint16(data[0])<<8|uint16(data[1])]
+}
+
 // Heard takes a sibling's message.
 func (d *Dispatcher) Heard(from int, data []byte) {
 	if from < 0 || from >= d.f.siblings || from == d.f.number {
@@ -53,7 +67,7 @@
 	}
 	d.heard = d.now
 	if len(data) == 4 && data[3] == suspicion {
-		for _, w := range d.part {
+		for _, w := range d.named(data) {
 			if _, ok := unpack(w, data[:3]); ok && slices.Contains(w.sharers, from) {
 				w.suspectTill = d.now + suspectFor
 			}
@@ -61,7 +75,7 @@
 		return
 	}
 	d.heards.add(d.now, weighSpan, 1)
-	for _, w := range d.part {
+	for _, w := range d.named(data) {
 		if span, ok := unpack(w, data); ok && slices.Contains(w.sharers, from) {
 			if span > 0 {
 				w.theirs = append(w.theirs, lease{from, d.now + span})
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -162,6 +162,7 @@
 	sharers     []int   // the dispatchers that it is dealt to, in the order of the deal
 	place       int     // this dispatcher's among them; beyond the last: it is not
 	mine        bool    // this dispatcher shares it
+	standsFor   float64 // workers in the draw, itself and those not looked at
 	theirs      []lease // hand-offs that siblings told of
 }
 
@@ -267,10 +268,11 @@
 	heards    ring   // messages of siblings
 	tolds     ring   // tellings of its own
 	fit       []*worker
-	ready     []*worker // those with credit, this round
-	stirred   bool      // held work may find room that it did not find before
+	pools     []pool               // of part
+	names     map[uint16][]*worker // of part, by what messages say of one; nil: not made since it changed
+	stirred   bool                 // held work may find room that it did not find before
 	arrived   bool
-	pressed   bool      // no worker has sure credit
+	wanted    credit    // likely once no worker has sure credit
 	suspects  bool      // some worker is suspected
 	far       []float64 // least time to a start notice from each zone, the first from no known one
 	failing   float64   // share of first hand-offs answered as failed, smoothed
@@ -292,7 +294,8 @@
 		resetAt: -1, shares: f.parts, mwc: s.Seed | 1, kinds: make([]kind, s.Kinds+1),
 		most: make([]float64, len(s.Categories)), costs: make([]cost, len(s.Categories)),
 		homes: map[uint64]*home{}, arrivals: make([]ring, len(s.Tenants)), beat: max(s.Grain, s.AnswerSlack/2, 1), beatAt: -1,
-		asked: -1, heard: math.Inf(-1)}
+		asked: -1, heard: math.Inf(-1), wanted: sure}
+	d.pool()
 	for range 8 {
 		d.chance()
 	}
@@ -301,7 +304,10 @@
 
 // Change has it decide by other settings from now on, between two rounds. What it keeps account of by position stays: the
 // lists of categories, tenants, kinds and siblings must be as they were.
-func (d *Dispatcher) Change(s Settings) { d.f = derive(s) }
+func (d *Dispatcher) Change(s Settings) {
+	d.f = derive(s)
+	d.pool()
+}
 
 // GiveUp gives the final answer to a work item that nothing is out for: the process may hand off no more.
 func (d *Dispatcher) GiveUp(wi uint64) {
@@ -325,6 +331,14 @@
 	return w.waiting + w.running + len(w.theirs)
 }
 
+// meanLoad is the mean of it over the workers in the draw.
+func (d *Dispatcher) meanLoad() (mean float64) {
+	for _, w := range d.fit {
+		mean += float64(d.load(w))
+	}
+	return mean / float64(len(d.fit))
+}
+
 // Streaming marks an item whose answer has begun: it is the client's now and has no expiry.
 func (d *Dispatcher) Streaming(wi uint64, _ int) {
 	if it := d.items[wi]; it != nil {
