--- a/internal/sockets/standins.go
+++ b/internal/sockets/standins.go
@@ -93,6 +93,10 @@
 		return fmt.Errorf("worker: %w", err)
 	}
 	a := l.Addr().(*net.TCPAddr)
+	if of, ok := r.at.Load(a.Port); ok && of != d { // a worker's that is down, who comes back to it
+		defer l.Close()
+		return r.listen(d, at)
+	}
 	d.addr, d.port = a.String(), a.Port
 	d.mu.Lock()
 	d.l = l
