--- a/cmd/weldlab/main_test.go
+++ b/cmd/weldlab/main_test.go
@@ -65,6 +65,11 @@
 		{"worlds --count 20", 0, []string{"20 worlds", "0 worlds with a broken rule"}},
 		{"report " + bad, 1, []string{"line 1"}},
 		{"ceiling --factor 1", 1, []string{"above 1"}},
+		{"capacity " + bad, 1, []string{"bad.toml:1: length"}},
+		{"capacity --with " + bad, 1, []string{"--with needs --from"}},
+		{"capacity --from " + bad + " --with " + bad, 1, []string{"bad.toml: invalid character"}},
+		{"capacity --from ../../docs/capacity/run-1.json --with ../../docs/capacity/before.json", 1, []string{"are not runs of one plan"}},
+		{"capacity --from ../../docs/capacity/run-1.json --with ../../docs/capacity/run-1.json", 0, []string{"| round_start@0 | ms |", "52 slopes: 52 in each other's interval"}},
 		{"demo --fault flood", 1, []string{"flood"}},
 	} {
 		code, out, errs := play(strings.Fields(c.args)...)
--- a/cmd/weldlab/scale.go
+++ b/cmd/weldlab/scale.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -77,10 +78,14 @@
 	Path string `arg:"" optional:"" name:"file" default:"docs/capacity/size.toml" help:"The size, what is assumed, and the slopes with their runs."`
 	JSON bool   `name:"json" help:"Print the tables as JSON."`
 	From string `placeholder:"RUN" help:"In place of the tables: the slopes of this run (JSON, beside the file), as the file has them."`
+	With string `placeholder:"RUN" help:"Beside --from: a second run of the same plan, and which slopes lie in each other's intervals."`
 }
 
 func (c *capacityCommand) Run(s *streams) error {
-	if c.From != "" {
+	switch {
+	case c.With != "":
+		return c.beside(s)
+	case c.From != "":
 		return c.slopes(s)
 	}
 	sheet, err := capacity.Load(c.Path, os.ReadFile)
@@ -103,15 +108,59 @@
 	return nil
 }
 
+func readRun(path string) (*scale.Result, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("capacity: %w", err)
+	}
+	r := &scale.Result{}
+	if err := json.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("capacity: %s: %w", path, err)
+	}
+	return r, nil
+}
+
+// beside prints the slopes of two runs of one plan.
+func (c *capacityCommand) beside(s *streams) error {
+	if c.From == "" {
+		return errors.New("capacity: --with needs --from, the other run")
+	}
+	a, err := readRun(c.From)
+	if err != nil {
+		return err
+	}
+	b, err := readRun(c.With)
+	if err != nil {
+		return err
+	}
+	all := scale.Beside(a, b)
+	if a.Plan != b.Plan || len(all) == 0 {
+		return fmt.Errorf("capacity: %s and %s are not runs of one plan", c.From, c.With)
+	}
+	within, overlap := 0, 0
+	fmt.Fprintf(s.out, "| slope | unit | %s | 95%% | %s | 95%% | in each other's interval |\n| --- | --- | --- | --- | --- | --- | --- |\n", filepath.Base(c.From), filepath.Base(c.With))
+	for _, p := range all {
+		said := "no, apart"
+		if p.Overlap() {
+			overlap++
+			said = "no, but the intervals overlap"
+		}
+		if p.Within() {
+			within++
+			said = "yes"
+		}
+		fmt.Fprintf(s.out, "| %s | %s | %s | %s to %s | %s | %s to %s | %s |\n", p.Name, p.Unit, scale.Number(p.A.Slope), scale.Number(p.A.Low), scale.Number(p.A.High),
+			scale.Number(p.B.Slope), scale.Number(p.B.Low), scale.Number(p.B.High), said)
+	}
+	fmt.Fprintf(s.out, "\n%d slopes: %d in each other's interval, %d with intervals that overlap\n", len(all), within, overlap)
+	return nil
+}
+
 // slopes prints those of a run in the form of the file.
 func (c *capacityCommand) slopes(s *streams) error {
-	text, err := os.ReadFile(c.From)
+	r, err := readRun(c.From)
 	if err != nil {
-		return fmt.Errorf("capacity: %w", err)
-	}
-	var r scale.Result
-	if err := json.Unmarshal(text, &r); err != nil {
-		return fmt.Errorf("capacity: %s: %w", c.From, err)
+		return err
 	}
 	for _, x := range r.Slopes() {
 		f := x.Fit
--- a/internal/capacity/tables.go
+++ b/internal/capacity/tables.go
@@ -103,6 +103,7 @@
 		row("dispatcher, all workers known: processor time at the peak", "internal/dispatch, internal/node, internal/platform", "cores", "1 core", 1,
 			func(n float64) (float64, string) { return idleCPU + cost*starts/n, costBasis }),
 		row("dispatcher, all workers known: a round that starts a job", "internal/dispatch", "ms", "5 ms (settings.granularity)", 5, func(float64) (float64, string) { return s.line("round_start@0", workers) }),
+		row("dispatcher, all workers known: the same while the list changes", "internal/dispatch", "ms", "5 ms (settings.granularity)", 5, func(float64) (float64, string) { return s.line("round_change@0", workers) }),
 		row("dispatcher: memory", "the same", "MB", fmt.Sprintf("%g MB", memory), memory, alike(knownMB, knownBasis)),
 		row("leader: processor time", "internal/council", "cores", "1 core", 1, slope("leader_cpu@1.1")),
 		row("leader: memory", "internal/council, internal/fleet", "MB", "192 MB (limits.memory_mb)", 192, slope("leader_mb@1.1")),
--- a/internal/dispatch/pools_test.go
+++ b/internal/dispatch/pools_test.go
@@ -212,3 +212,24 @@
 	}
 	tr.at(tr.now+5, func(d *Dispatcher) { d.Heard(1, nil) }) // nothing to be named
 }
+
+// TestManySome: where a look at some is enough, these are others each time, and in the end all.
+func TestManySome(t *testing.T) {
+	tr := wide(t, plain(), 1000)
+	met := map[*worker]bool{}
+	for range 200 {
+		some := tr.d.some()
+		if len(some) != many {
+			t.Fatalf("%d workers are some", len(some))
+		}
+		for _, w := range some {
+			met[w] = true
+		}
+	}
+	if len(met) < 950 {
+		t.Errorf("200 looks met %d of 1,000 workers", len(met))
+	}
+	if few := wide(t, plain(), many); len(few.d.some()) != many {
+		t.Error("of few workers not all are some")
+	}
+}
--- a/internal/scale/play.go
+++ b/internal/scale/play.go
@@ -51,26 +51,25 @@
 
 // Point is one size, measured.
 type Point struct {
-	Series     string           `json:"series"` // members, workers, teams, rounds
-	Size       int              `json:"size"`
-	Versions   float64          `json:"versions,omitempty"` // a second, wanted
-	Rate       float64          `json:"rate,omitempty"`     // jobs a second, wanted
-	Seconds    float64          `json:"seconds"`
-	Roles      map[string]Usage `json:"roles"`
-	Published  int              `json:"published,omitempty"`
-	P50        float64          `json:"in_force_p50_ms,omitempty"`
-	P99        float64          `json:"in_force_p99_ms,omitempty"`
-	All        float64          `json:"in_force_all_ms,omitempty"`
-	Unknown    int              `json:"unknown,omitempty"`       // passed over before it was known when they were published
-	Behind     int              `json:"behind,omitempty"`        // hollow members without the newest one at the end
-	Member     Link             `json:"member_link"`             // a hollow member's, mean
-	RoundIdle  float64          `json:"round_idle_ms,omitempty"` // of the decisions alone
-	RoundStart float64          `json:"round_start_ms,omitempty"`
-	Jobs       int              `json:"jobs,omitempty"`
-	Served     int              `json:"served,omitempty"`
-	LateP99    float64          `json:"late_p99_ms"`
-	TotalMB    float64          `json:"total_mb"`
-	Busy       float64          `json:"machine_busy"` // part of all cores
+	Series    string           `json:"series"` // members, workers, teams, rounds
+	Size      int              `json:"size"`
+	Versions  float64          `json:"versions,omitempty"` // a second, wanted
+	Rate      float64          `json:"rate,omitempty"`     // jobs a second, wanted
+	Seconds   float64          `json:"seconds"`
+	Roles     map[string]Usage `json:"roles"`
+	Published int              `json:"published,omitempty"`
+	P50       float64          `json:"in_force_p50_ms,omitempty"`
+	P99       float64          `json:"in_force_p99_ms,omitempty"`
+	All       float64          `json:"in_force_all_ms,omitempty"`
+	Unknown   int              `json:"unknown,omitempty"` // passed over before it was known when they were published
+	Behind    int              `json:"behind,omitempty"`  // hollow members without the newest one at the end
+	Member    Link             `json:"member_link"`       // a hollow member's, mean
+	Rounds                     // of the decisions alone
+	Jobs      int              `json:"jobs,omitempty"`
+	Served    int              `json:"served,omitempty"`
+	LateP99   float64          `json:"late_p99_ms"`
+	TotalMB   float64          `json:"total_mb"`
+	Busy      float64          `json:"machine_busy"` // part of all cores
 }
 
 // Link is one member's link in a second.
--- a/internal/scale/rounds.go
+++ b/internal/scale/rounds.go
@@ -30,68 +30,104 @@
 func (r *rounder) Watch(bool)                             {}
 func (r *rounder) Tell(int, []byte)                       {}
 
-// timedRounds is how many of each are timed.
-const timedRounds = 400
+// timedRounds is how many of each are timed, and batch how many jobs come at once in some.
+const (
+	timedRounds = 400
+	batch       = 100
+)
+
+// Rounds are mean times of rounds, in milliseconds.
+type Rounds struct {
+	Idle   float64 `json:"round_idle_ms,omitempty"`   // nothing came in
+	Start  float64 `json:"round_start_ms,omitempty"`  // it takes in a job, sends it, and has the end of another
+	Batch  float64 `json:"round_batch_ms,omitempty"`  // the same with 100 jobs at once, where there are twice as many workers
+	Change float64 `json:"round_change_ms,omitempty"` // the same as with one, and the list changes: a worker drains or is back
+}
+
+func (t Rounds) text() string {
+	return fmt.Sprintf("%.4f ms with nothing, %.4f ms with a job, %.4f ms with %d at once, %.4f ms with a job and a change of the list", t.Idle, t.Start, t.Batch, batch, t.Change)
+}
 
-// timeRounds gives the mean time of a round in which nothing came in, and of one that takes in a job, sends it, and has the
-// end of another, in milliseconds.
-func timeRounds(workers int) (idle, start float64, err error) {
+// timeRounds times them for a dispatcher that knows so many workers.
+func timeRounds(workers int) (t Rounds, err error) {
 	x, err := world.Read("base", []byte(base))
 	if err != nil {
 		panic(err) // the text is our own
 	}
 	s, err := x.Dispatch(0, 1)
 	if err != nil {
-		return 0, 0, fmt.Errorf("scale: %w", err)
+		return t, fmt.Errorf("scale: %w", err)
 	}
 	d, r, now := dispatch.New(s), &rounder{}, 1e6
-	round := func(in func(dispatch.Receiver)) time.Duration {
+	round := func(in func(dispatch.Receiver)) float64 {
 		now += 5
 		r.in = in
 		began := time.Now()
 		d.Round(now, r, r)
-		return time.Since(began)
+		return float64(time.Since(began)) / 1e6
 	}
 	entries := make([]dispatch.Entry, workers)
 	for w := range entries {
 		entries[w] = dispatch.Entry{Worker: workerName(w)}
 	}
 	round(func(to dispatch.Receiver) { to.Listed(dispatch.Complete, entries) })
-	var spent [2]time.Duration
-	handed := 0
-	for k := range 2 * timedRounds {
-		if k%2 == 0 {
-			spent[0] += round(nil)
-			continue
-		}
+	jobs, handed := uint64(0), 0
+	work := func(n int, more func(dispatch.Receiver)) float64 {
 		ended := r.sent
 		r.sent = nil
-		spent[1] += round(func(to dispatch.Receiver) {
+		took := round(func(to dispatch.Receiver) {
 			for _, wi := range ended {
 				to.Noticed(wi, 0, true, 0)
 				to.Answered(dispatch.Answer{WI: wi, Outcome: dispatch.Finished, Spent: 10, Final: true, Load: dispatch.NoLoad})
 			}
-			to.Arrived(dispatch.WorkItem{ID: uint64(k), Tenant: -1, Left: 5000, Hint: 20})
+			if more != nil {
+				more(to)
+			}
+			for range n {
+				jobs++
+				to.Arrived(dispatch.WorkItem{ID: jobs, Tenant: -1, Left: 5000, Hint: 20})
+			}
 		})
 		handed += len(r.sent)
+		return took
 	}
-	if handed < timedRounds*9/10 {
-		return 0, 0, fmt.Errorf("%w: %d of %d jobs were handed off by a dispatcher that knows %d workers", ErrVoid, handed, timedRounds, workers)
+	for range timedRounds {
+		t.Idle += round(nil) / timedRounds
+		t.Start += work(1, nil) / timedRounds
+	}
+	for k := range timedRounds {
+		e := entries[k/2%workers]
+		if e.State = dispatch.Draining; k%2 == 1 {
+			e.State = dispatch.Up
+		}
+		t.Change += work(1, func(to dispatch.Receiver) { to.Listed(dispatch.Changes, []dispatch.Entry{e}) }) / timedRounds
+	}
+	for range timedRounds / batch * b2i(workers >= 2*batch) { // fewer could not take them
+		t.Batch += work(batch, nil) / (timedRounds / batch)
+	}
+	if handed < int(jobs)*9/10 {
+		return t, fmt.Errorf("%w: %d of %d jobs were handed off by a dispatcher that knows %d workers", ErrVoid, handed, jobs, workers)
+	}
+	return t, nil
+}
+
+func b2i(b bool) int {
+	if b {
+		return 1
 	}
-	ms := func(d time.Duration) float64 { return float64(d) / timedRounds / 1e6 }
-	return ms(spent[0]), ms(spent[1]), nil
+	return 0
 }
 
 // rounds is the series over workers known, for the decisions alone.
 func (u *run) rounds(res *Result) error {
 	for _, n := range u.p.Workers {
 		began := time.Now()
-		idle, start, err := timeRounds(n)
+		t, err := timeRounds(n)
 		if err != nil {
 			return err
 		}
-		res.Points = append(res.Points, Point{Series: "rounds", Size: n, Seconds: time.Since(began).Seconds(), RoundIdle: idle, RoundStart: start})
-		u.tell("rounds, %d workers known: %.4f ms with nothing, %.4f ms with a job", n, idle, start)
+		res.Points = append(res.Points, Point{Series: "rounds", Size: n, Seconds: time.Since(began).Seconds(), Rounds: t})
+		u.tell("rounds, %d workers known: %s", n, t.text())
 	}
 	return nil
 }
--- a/internal/scale/scale_test.go
+++ b/internal/scale/scale_test.go
@@ -62,6 +62,39 @@
 late = "2s"
 `
 
+// TestRounds: each round is timed, and with more to do it takes longer.
+func TestRounds(t *testing.T) {
+	r, err := timeRounds(2 * batch)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Idle <= 0 || r.Start <= r.Idle || r.Batch <= r.Start || r.Change <= r.Start {
+		t.Error(r.text())
+	}
+}
+
+// TestBeside: slopes of two runs are paired by name; one that lies outside the other's interval is told, and whether the two
+// intervals still meet.
+func TestBeside(t *testing.T) {
+	run := func(slope, off float64) *Result {
+		r := &Result{}
+		for k, n := range []int{200, 1000, 4000, 18000} {
+			y := slope*float64(n) + off*float64(1-k%2*2)
+			r.Points = append(r.Points, Point{Series: "rounds", Size: n, Rounds: Rounds{Idle: 1, Start: y}})
+		}
+		return r
+	}
+	for _, c := range []struct {
+		slope           float64
+		within, overlap bool
+	}{{1, true, true}, {1.02, true, true}, {1.2, false, true}, {1.5, false, false}} {
+		all := Beside(run(1, 300), run(c.slope, 300))
+		if len(all) != 2 || all[1].Name != "round_start@0" || all[1].Within() != c.within || all[1].Overlap() != c.overlap {
+			t.Errorf("slope %g beside 1: %+v", c.slope, all)
+		}
+	}
+}
+
 func plan(t *testing.T, more ...string) *Plan {
 	t.Helper()
 	text := small
@@ -106,8 +139,8 @@
 	}
 	for _, p := range r.Points {
 		name := fmt.Sprint(p.Series, " ", p.Size, " ", p.Rate)
-		if p.Series == "rounds" && (p.RoundIdle <= 0 || p.RoundStart <= p.RoundIdle) {
-			t.Errorf("%s: %v ms with nothing, %v with a job", name, p.RoundIdle, p.RoundStart)
+		if p.Series == "rounds" && (p.Idle <= 0 || p.Start <= p.Idle || p.Change <= p.Idle) {
+			t.Errorf("%s: %s", name, p.text())
 		}
 		if p.Series == "members" {
 			if p.Roles["leader"].Processes != 1 || p.Roles["voter"].Processes != 2 || p.Roles["dispatcher"].Processes != 2 || p.Roles["follower"].Processes != 2 {
--- a/internal/scale/text.go
+++ b/internal/scale/text.go
@@ -53,8 +53,10 @@
 	{"in_force_p50", "ms", "members", func(p Point) (float64, bool) { return p.P50, p.Published > 0 }},
 	{"in_force_p99", "ms", "members", func(p Point) (float64, bool) { return p.P99, p.Published > 0 }},
 	{"in_force_all", "ms", "members", func(p Point) (float64, bool) { return p.All, p.Published > 0 }},
-	{"round_idle", "ms", "rounds", func(p Point) (float64, bool) { return p.RoundIdle, true }},
-	{"round_start", "ms", "rounds", func(p Point) (float64, bool) { return p.RoundStart, true }},
+	{"round_idle", "ms", "rounds", func(p Point) (float64, bool) { return p.Idle, true }},
+	{"round_start", "ms", "rounds", func(p Point) (float64, bool) { return p.Start, true }},
+	{"round_batch", "ms", "rounds", func(p Point) (float64, bool) { return p.Batch, p.Batch > 0 }},
+	{"round_change", "ms", "rounds", func(p Point) (float64, bool) { return p.Change, p.Change > 0 }},
 	{"known_cpu", "cores", "workers", usage("dispatcher", func(u Usage) float64 { return u.CPU })},
 	{"known_mb", "MB", "workers", usage("dispatcher", func(u Usage) float64 { return u.MB })},
 	{"team_cpu", "cores", "teams", usage("dispatcher", func(u Usage) float64 { return u.CPU })},
@@ -101,6 +103,30 @@
 	return all[k], true
 }
 
+// Pair is a figure's slope by two runs of one plan.
+type Pair struct {
+	Name, Unit string
+	A, B       Fit
+}
+
+// Within tells whether each of the two slopes lies in the other's interval.
+func (p Pair) Within() bool {
+	return p.A.Low <= p.B.Slope && p.B.Slope <= p.A.High && p.B.Low <= p.A.Slope && p.A.Slope <= p.B.High
+}
+
+// Overlap tells whether the two intervals have a part in common.
+func (p Pair) Overlap() bool { return p.A.Low <= p.B.High && p.B.Low <= p.A.High }
+
+// Beside pairs the slopes that both runs have an interval for.
+func Beside(a, b *Result) (all []Pair) {
+	for _, x := range a.Slopes() {
+		if y, ok := b.Slope(x.Name); ok && x.Fit.Points >= 3 && y.Fit.Points >= 3 {
+			all = append(all, Pair{x.Name, x.Unit, x.Fit, y.Fit})
+		}
+	}
+	return all
+}
+
 // Number prints a figure to four digits.
 func Number(x float64) string {
 	switch a := math.Abs(x); {
@@ -129,7 +155,7 @@
 	b.WriteString("\nseries   size  per s  role         n  cores    MB     read B/s  written B/s  reads/s  writes/s\n")
 	for _, p := range r.Points {
 		if p.Series == "rounds" {
-			fmt.Fprintf(&b, "rounds  %5d  a round of the decisions alone: %.4f ms with nothing, %.4f ms with a job\n", p.Size, p.RoundIdle, p.RoundStart)
+			fmt.Fprintf(&b, "rounds  %5d  a round of the decisions alone: %s\n", p.Size, p.text())
 			continue
 		}
 		var roles []string
