--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -107,9 +107,7 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
 			slog.Warn("accept", "accept", err)
-			c.short(err)
-			for c.makeRoom() && c.full() {
-			}
+			c.makeRoom()
 			time.Sleep(acceptAgain)
 		default:
 			return conn, err
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,12 +8,10 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net/netip"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"weldmast/internal/figures"
@@ -41,7 +39,6 @@
 	Exchange *takeover.Exchange
 	Found    []*os.File      // sockets of an older process, served once it has handed over
 	Shared   func(half bool) // told which part of the bounds is this process's
-	Limit    func() int      // how many descriptors the system allows by now; nil: as many as Sockets
 }
 
 // Platform is the front of one node.
@@ -54,8 +51,6 @@
 	node      *node.Node
 	stop      context.CancelFunc
 	running   sync.WaitGroup
-	sharing   sync.Mutex // of o.Sockets and half
-	half      bool
 }
 
 // Parts of the limit on sockets; what is left is for discovery, siblings, files and the runtime's own. Half may
@@ -83,7 +78,6 @@
 		return nil, fmt.Errorf("start: %w", err)
 	}
 	p.clients.hand = p.hand
-	p.clients.short, p.workers.short, p.discovery.short = p.short, p.short, p.short
 	for _, f := range o.Found { // the parts have copies
 		f.Close()
 	}
@@ -98,20 +92,6 @@
 	return p, nil
 }
 
-// short is told why a connection did not come up or in. Where the system had no descriptor left it may allow fewer than it did:
-// clients and workers get their parts of these. Without that, clients that only connect would take each that becomes free.
-func (p *Platform) short(err error) {
-	if p.o.Limit == nil || !errors.Is(err, syscall.EMFILE) {
-		return
-	}
-	p.sharing.Lock()
-	defer p.sharing.Unlock()
-	if now := p.o.Limit(); now < p.o.Sockets {
-		p.o.Sockets = now
-		p.share()
-	}
-}
-
 // Send starts a hand-off.
 func (p *Platform) Send(s node.Sending) node.Attempt { return p.workers.send(s) }
 
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -108,14 +108,13 @@
 	c.Links.MaxOpen = min(c.Links.MaxOpen, c.Sockets/2)
 	o := platform.Options{Listen: c.Listen, PeerListen: c.PeerListen, Peers: c.Peers,
 		PeersAll: c.PeersAll, Number: c.Settings.Number, Names: c.Names, Links: c.Links,
-		Copies: c.Settings.SecondCopies, Asked: c.Settings.MustAsk, Sockets: c.Sockets, Limit: func() int { return descriptors(c.Sockets) }}
+		Copies: c.Settings.SecondCopies, Asked: c.Settings.MustAsk, Sockets: c.Sockets}
 	for _, category := range c.Settings.Categories {
 		o.Expiries = append(o.Expiries, category.Expiry)
 	}
 	if c.Ops.IsValid() {
 		o.Figures = figures.New(c.Names.Categories)
 		o.Sockets -= operate.Descriptors
-		o.Limit = func() int { return descriptors(c.Sockets) - operate.Descriptors }
 	}
 	var exchange *takeover.Exchange
 	if c.Temp != "" {
