--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -167,6 +167,6 @@
 	if len(d.part) <= many {
 		return d.part
 	}
-	from := int(d.chance() * float64(len(d.part)-many))
+	from := int(d.chance() * float64(len(d.part)-many+1))
 	return d.part[from : from+many]
 }
--- a/internal/dispatch/pools_test.go
+++ b/internal/dispatch/pools_test.go
@@ -217,7 +217,7 @@
 func TestManySome(t *testing.T) {
 	tr := wide(t, plain(), 1000)
 	met := map[*worker]bool{}
-	for range 200 {
+	for range 20000 {
 		some := tr.d.some()
 		if len(some) != many {
 			t.Fatalf("%d workers are some", len(some))
@@ -226,8 +226,8 @@
 			met[w] = true
 		}
 	}
-	if len(met) < 950 {
-		t.Errorf("200 looks met %d of 1,000 workers", len(met))
+	if len(met) != 1000 { // the first and the last are in one look of 745
+		t.Errorf("20,000 looks met %d of 1,000 workers", len(met))
 	}
 	if few := wide(t, plain(), many); len(few.d.some()) != many {
 		t.Error("of few workers not all are some")
