A limit of descriptors that falls is heeded, and callbacks keep their room among few

Now clients have 4 and workers 2 at least, waiting clients leave a sixth and two at least for callbacks (node.Room), and room is never made by the newcomer while another can give way.

The line about watches is left out; what it checks is as before.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -23,6 +23,7 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"golang.org/x/sys/unix"
 
 	"weldmast/internal/kept"
 )
@@ -1047,6 +1048,7 @@
 	w.note("busy: %s", busy.answer())
 	w.must(w.cmd.Process.Signal(syscall.SIGTERM))
 	w.note("exit: %v", w.cmd.Wait())
+	w.without("watch after ") // each reload asks discovery anew, at its own time
 	if !strings.HasSuffix(w.log.String(), "busy: 200 a\nexit: <nil>\n") {
 		t.Error(w.log.String())
 	}
@@ -1077,6 +1079,67 @@
 late: 200`)
 }
 
+// TestFewDescriptors: clients that wait leave room for the callbacks that end their jobs, from the start and from the moment
+// at which the system's limit falls.
+func TestFewDescriptors(t *testing.T) {
+	const few, many = 64, 40
+	for name, falls := range map[string]bool{"configured": false, "fallen": true} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(t)
+			if !falls {
+				w.sockets = few
+			}
+			var workers []string
+			for k := range many {
+				workers = append(workers, line(fmt.Sprint("w", k), w.worker(fmt.Sprint("w", k), nil), "in_service"))
+			}
+			w.tell(list(1, true, workers...))
+			w.start()
+			if falls {
+				w.must(unix.Prlimit(w.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: few, Max: few}, nil))
+				_, stop := w.idlers(150)
+				w.until("the limit", func() bool { return strings.Contains(w.output.String(), "msg=limits sockets=64 ") })
+				stop()
+			}
+			answers := make(chan string, many)
+			jobs := func() map[string]string { // that workers have, and who
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				at := map[string]string{}
+				for l := range strings.Lines(w.log.String()) {
+					if from, id, is := strings.Cut(strings.TrimSpace(l), ": "); is && strings.HasPrefix(id, "job-") {
+						at[id] = from
+					}
+				}
+				return at
+			}
+			for k := range many { // each waits, or has its answer, before the next one comes
+				id, c := fmt.Sprint("job-", k), w.dial()
+				io.WriteString(c, request(id, "/plan/x", ""))
+				before := len(answers)
+				go func() { answers <- strings.Fields(c.answer())[0] }()
+				w.until(id, func() bool { return len(answers) > before || jobs()[id] != "" })
+			}
+			out := jobs()
+			if len(out) < few/8 {
+				t.Errorf("%d are taken", len(out))
+			}
+			for id, from := range out {
+				if status := w.back(id, from, "done", ""); status != 200 {
+					t.Errorf("the callback for %s: %d", id, status)
+				}
+			}
+			w.until("all answers", func() bool { return len(answers) == many })
+			for range many {
+				if a := <-answers; a != "200" && a != "503" {
+					t.Errorf("answered %s", a)
+				}
+			}
+		})
+	}
+}
+
 // TestLinks: connections to workers are closed well before the worker would, and a limit on sockets holds.
 func TestLinks(t *testing.T) {
 	w := newWorld(t)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -208,6 +208,8 @@
 		// Applied is called once no hand-off begun under an older version is still to be written; nil: nobody asks.
 		Applied func()
 	}
+	// Room gives for how many waiting clients there are descriptors from now on.
+	Room struct{ Clients int }
 	// Moved gives the address at which discovery is found from now on.
 	Moved struct{ Discovery string }
 	// Heard is a sibling's message.
@@ -326,6 +328,7 @@
 type Node struct {
 	s          dispatch.Settings
 	maxOpen    int
+	room       int // the same by descriptors
 	front      Front
 	d          dispatch.Decider
 	queue      chan any
@@ -406,7 +409,7 @@
 // New makes a node that serves once it is run.
 func New(o Options) *Node {
 	s := o.Settings
-	n := &Node{s: s, maxOpen: o.MaxOpen, d: o.Decider, queue: make(chan any, queueSize),
+	n := &Node{s: s, maxOpen: o.MaxOpen, room: math.MaxInt, d: o.Decider, queue: make(chan any, queueSize),
 		stopped: make(chan struct{}), clock: o.Clock, log: o.Log, items: map[uint64]*item{},
 		byID: map[string]*item{}, addrs: map[string]string{}, mwc: s.Seed>>32 | 1, lastAt: math.Inf(-1),
 		watchAt: math.Inf(1), discovery: o.Discovery, revision: Whole, figures: o.Figures, gate: o.Gate, mark: o.Mark}
@@ -605,6 +608,8 @@
 		n.ask()
 	case Changed:
 		n.change(v)
+	case Room:
+		n.room = v.Clients
 	case Heard:
 		n.inbox = append(n.inbox, v)
 	case Stop:
@@ -708,7 +713,7 @@
 		n.book(fleet.Deferred)
 		c.Answer(r)
 		return
-	case n.open >= n.maxOpen: // as the settings say, or no socket is left for one more client that waits
+	case n.open >= min(n.maxOpen, n.room): // as the settings say, or no socket is left for one more client that waits
 		r := Reply{Result: Deferred}
 		if n.s.MayPause {
 			r.Pause = min(fullPause, n.s.MaxPause)
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -56,6 +56,7 @@
 	passing  bool                                                 // callbacks may be another process's
 	giving   atomic.Pointer[func(syscall.Conn) bool]              // idle connections are given away
 	gate     gate
+	short    func(error) // told why a connection could not be accepted
 	server   *fasthttp.Server
 	leaving  atomic.Bool // whom a deferral sends elsewhere is not to come again
 	draining atomic.Bool // nobody is
@@ -69,7 +70,7 @@
 		return nil, err
 	}
 	c := &clients{node: n, names: o.Names, expiries: o.Expiries, figures: o.Figures, listener: l,
-		passing: o.Exchange != nil, conns: map[*clientConn]bool{}}
+		passing: o.Exchange != nil, conns: map[*clientConn]bool{}, short: func(error) {}}
 	c.sayMost = max(readWithin, time.Duration(slices.Max(o.Expiries)*float64(time.Millisecond)))
 	c.server = &fasthttp.Server{Handler: c.handle, ErrorHandler: refuseUnread,
 		Concurrency: 2*int(clientPart*float64(o.Sockets)) + 1, // closed ones may still be ending
--- a/internal/platform/discovery.go
+++ b/internal/platform/discovery.go
@@ -100,10 +100,11 @@
 	first   time.Duration // a call's answer has come by then
 	mu      sync.Mutex
 	stops   map[int]context.CancelFunc // of the open watches
+	short   func(error)                // told why a call's connection did not come up
 }
 
 func newDiscovery(ctx context.Context, n *node.Node, o Options, running *sync.WaitGroup) *discovery {
-	d := &discovery{ctx: ctx, node: n, names: o.Names, running: running, first: discoveryFirst, stops: map[int]context.CancelFunc{}}
+	d := &discovery{ctx: ctx, node: n, names: o.Names, running: running, first: discoveryFirst, stops: map[int]context.CancelFunc{}, short: func(error) {}}
 	if o.Asked {
 		d.first = discoveryTurn
 	}
@@ -244,6 +245,7 @@
 	dialer := net.Dialer{Timeout: discoveryUp}
 	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
+		d.short(err)
 		return err
 	}
 	defer conn.Close()
--- a/internal/platform/endings_test.go
+++ b/internal/platform/endings_test.go
@@ -12,6 +12,7 @@
 	"os"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -670,13 +671,49 @@
 }
 
 // TestShares: clients and workers at their most leave the descriptors that the process itself has, and a few for discovery.
+// However few there are, a job, its callback and a hand-off have theirs.
 func TestShares(t *testing.T) {
-	for sockets := 64; sockets <= 2048; sockets += 7 {
-		p := &Platform{o: Options{Sockets: sockets}, clients: &clients{}, workers: &workers{}}
+	for sockets := 1; sockets <= 2048; sockets += 7 {
+		p := &Platform{o: Options{Sockets: sockets}, clients: &clients{}, workers: &workers{}, node: node.New(node.Options{})}
 		p.Share(false)
-		if left := sockets - int(p.clients.most.Load()) - p.workers.most; left < ownSockets {
+		if left := sockets - int(p.clients.most.Load()) - p.workers.most; left < ownSockets && sockets >= 64 {
 			t.Fatalf("of %d descriptors %d are left", sockets, left)
 		}
+		if p.clients.most.Load() < leastClients || p.workers.most < leastWorkers {
+			t.Fatalf("of %d descriptors clients have %d, workers %d", sockets, p.clients.most.Load(), p.workers.most)
+		}
+	}
+}
+
+// TestLimitFalls: as the system has no descriptor left, its limit is read again; clients and workers keep to their parts of a
+// lower one, and those that idle give way at once. A higher one changes nothing, nor does another error.
+func TestLimitFalls(t *testing.T) {
+	limit := 500
+	r := newRig(t, func(o *Options, _ *node.Options) {
+		o.Sockets, o.Limit = 500, func() int { return limit }
+	})
+	for range 100 {
+		r.dial()
+	}
+	r.until("all clients", func() bool { return len(r.p.clients.all()) == 100 })
+	for _, c := range []struct {
+		limit, clients, workers int
+		err                     error
+	}{
+		{40, 300, 150, syscall.ECONNREFUSED},
+		{600, 300, 150, syscall.EMFILE},
+		{100, 54, 29, fmt.Errorf("accept: %w", syscall.EMFILE)},
+		{400, 54, 29, syscall.EMFILE},
+		{20, leastClients, leastWorkers, syscall.EMFILE},
+	} {
+		limit = c.limit
+		r.p.short(c.err)
+		if r.p.clients.most.Load() != int64(c.clients) || r.p.workers.most != c.workers {
+			t.Errorf("%d descriptors, %v: clients %d, workers %d", c.limit, c.err, r.p.clients.most.Load(), r.p.workers.most)
+		}
+		if have := len(r.p.clients.all()); have > c.clients {
+			t.Errorf("%d descriptors: %d clients have a connection, %d may", c.limit, have, c.clients)
+		}
 	}
 }
 
--- a/internal/platform/guard.go
+++ b/internal/platform/guard.go
@@ -107,7 +107,8 @@
 		case errors.Is(err, os.ErrDeadlineExceeded):
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
 			slog.Warn("accept", "accept", err)
-			c.makeRoom()
+			c.short(err)
+			c.makeRoom(nil)
 			time.Sleep(acceptAgain)
 		default:
 			return conn, err
@@ -129,7 +130,7 @@
 	c.mu.Unlock()
 	if c.full() {
 		runtime.Gosched() // what is there to read is read first
-		for c.full() && c.makeRoom() {
+		for c.full() && (c.makeRoom(cc) || c.makeRoom(nil)) {
 		}
 	}
 	for int64(c.server.GetOpenConnectionsCount()) >= 2*c.most.Load() { // those that were closed have yet to end
@@ -168,12 +169,13 @@
 // makeRoom closes one connection: of those that never brought work or a callback the one that has been so for longest,
 // be it silent, idle after asking for /ready, or half said, which counts for a quarter; else the longest idle, else the
 // one whose request has been coming in for longest, be it a first one that still moves. Those whose request is being served stay; the node takes no more of them than half of
-// all descriptors. What is usual says what it has to say at once and so is young among the first.
-func (c *clients) makeRoom() bool {
+// all descriptors. What is usual says what it has to say at once and so is young among the first. The newcomer that room is made
+// for is not looked at: where all others have brought work, it would be the first to go, and no callback came in.
+func (c *clients) makeRoom(newcomer *clientConn) bool {
 	var last *clientConn
 	var least standing
 	for _, conn := range c.all() {
-		if s := conn.standing(); s.rank < served && (last == nil || s.before(least)) {
+		if s := conn.standing(); conn != newcomer && s.rank < served && (last == nil || s.before(least)) {
 			last, least = conn, s
 		}
 	}
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -8,10 +8,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"log/slog"
 	"net/netip"
 	"os"
 	"sync"
+	"syscall"
 	"time"
 
 	"weldmast/internal/figures"
@@ -39,6 +42,7 @@
 	Exchange *takeover.Exchange
 	Found    []*os.File      // sockets of an older process, served once it has handed over
 	Shared   func(half bool) // told which part of the bounds is this process's
+	Limit    func() int      // what Sockets would be by the system's limit of this moment; nil: as it is
 }
 
 // Platform is the front of one node.
@@ -51,6 +55,8 @@
 	node      *node.Node
 	stop      context.CancelFunc
 	running   sync.WaitGroup
+	sharing   sync.Mutex // of o.Sockets and half
+	half      bool
 }
 
 // Parts of the limit on sockets; what is left is for discovery, siblings, files and the runtime's own. Half may
@@ -60,6 +66,10 @@
 	workerPart = 0.3
 	ownSockets = 16   // three files, two listeners, the poller's, calls of discovery, a connection that is being refused
 	clientRest = 0.65 // of the rest, at most
+	// Where that leaves next to nothing: a job, its worker's callback and one that comes; a hand-off and a giving up.
+	leastClients = 4
+	leastWorkers = 2
+	leastBacks   = 2 // of the clients' part, for callbacks alone, and a sixth of it if that is more
 )
 
 // Start listens and begins to serve. The node's queue takes what comes in; it need not run yet.
@@ -78,6 +88,7 @@
 		return nil, fmt.Errorf("start: %w", err)
 	}
 	p.clients.hand = p.hand
+	p.clients.short, p.workers.short, p.discovery.short = p.short, p.short, p.short
 	for _, f := range o.Found { // the parts have copies
 		f.Close()
 	}
@@ -92,6 +103,23 @@
 	return p, nil
 }
 
+// short is told why a connection did not come up or in. Where the system had no descriptor left it may allow fewer than it did:
+// clients and workers get their parts of these. Without that, clients that only connect would take each that becomes free.
+func (p *Platform) short(err error) {
+	if p.o.Limit == nil || !errors.Is(err, syscall.EMFILE) {
+		return
+	}
+	p.sharing.Lock()
+	if now := p.o.Limit(); now < p.o.Sockets {
+		slog.Warn("limits", "sockets", now, "was", p.o.Sockets)
+		p.o.Sockets = now
+		p.share()
+	}
+	p.sharing.Unlock()
+	for p.clients.full() && p.clients.makeRoom(nil) {
+	}
+}
+
 // Send starts a hand-off.
 func (p *Platform) Send(s node.Sending) node.Attempt { return p.workers.send(s) }
 
--- a/internal/platform/takeover.go
+++ b/internal/platform/takeover.go
@@ -153,16 +153,27 @@
 
 // Share keeps to half of the bounds while another process has the other half.
 func (p *Platform) Share(half bool) {
+	p.sharing.Lock()
+	p.half = half
+	p.share()
+	p.sharing.Unlock()
+	if p.o.Shared != nil {
+		p.o.Shared(half)
+	}
+}
+
+// share gives clients and workers their parts. The lock is held.
+func (p *Platform) share() {
 	part := float64(p.o.Sockets)
-	if half {
+	if p.half {
 		part /= 2
 	}
 	// Where there are few descriptors, those that the process itself has come first.
-	p.clients.most.Store(int64(max(min(clientPart*part, clientRest*(part-ownSockets)), 1)))
-	p.workers.bound(int(max(min(workerPart*part, (1-clientRest)*(part-ownSockets)), 1)))
-	if p.o.Shared != nil {
-		p.o.Shared(half)
-	}
+	most := int(max(min(clientPart*part, clientRest*(part-ownSockets)), leastClients))
+	p.clients.most.Store(int64(most))
+	p.workers.bound(int(max(min(workerPart*part, (1-clientRest)*(part-ownSockets)), leastWorkers)))
+	// Clients that wait must leave room for the callbacks that end their jobs.
+	p.node.Queue(node.Room{Clients: most - max(most/6, leastBacks)})
 }
 
 // Succeeded tells the node that a newer process is there.
--- a/internal/platform/workers.go
+++ b/internal/platform/workers.go
@@ -100,13 +100,14 @@
 	open    int
 	idle    map[string][]*workerConn // longest idle first
 	running sync.WaitGroup
+	short   func(error) // told why a connection did not come up
 }
 
 func newWorkers(n *node.Node, o Options) *workers {
 	ms, l := float64(time.Millisecond), o.Links
 	return &workers{node: n, dialer: net.Dialer{Timeout: time.Duration(l.Connect * ms), KeepAlive: -1},
 		idleFor: time.Duration(l.Idle / 2 * ms), learned: time.Duration(l.Idle / 2 * ms), settle: settled, copies: o.Copies,
-		figures: o.Figures, gate: o.Gate, idle: map[string][]*workerConn{}}
+		figures: o.Figures, gate: o.Gate, idle: map[string][]*workerConn{}, short: func(error) {}}
 }
 
 // errTooMany: all connections to workers that the limit allows are in use. The hand-off could not connect.
@@ -152,6 +153,7 @@
 	conn, err := w.dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		w.closed()
+		w.short(err)
 		return nil, err
 	}
 	if gone < w.idleFor { // by a worker that lives: one that died closes them all, however long they were idle
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -76,7 +76,6 @@
 	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &l); err != nil || l.Cur >= uint64(said) {
 		return said
 	}
-	slog.Warn("limits", "sockets", said, "system", l.Cur)
 	return int(l.Cur)
 }
 
@@ -104,7 +103,10 @@
 	}
 	runtime.GOMAXPROCS(c.Cores)
 	aim(c.MemoryMB, false)
-	c.Sockets = descriptors(c.Sockets)
+	if system := descriptors(c.Sockets); system < c.Sockets {
+		slog.Warn("limits", "sockets", c.Sockets, "system", system)
+		c.Sockets = system
+	}
 	c.Links.MaxOpen = min(c.Links.MaxOpen, c.Sockets/2)
 	o := platform.Options{Listen: c.Listen, PeerListen: c.PeerListen, Peers: c.Peers,
 		PeersAll: c.PeersAll, Number: c.Settings.Number, Names: c.Names, Links: c.Links,
@@ -138,6 +140,8 @@
 		force.most = o.Sockets / 2
 		no.MaxOpen = force.bound(no.MaxOpen)
 	}
+	aside := c.Sockets - o.Sockets // for other parts, of whatever there is; half at most
+	o.Limit = func() int { now := descriptors(c.Sockets); return max(now-aside, now/2) }
 	n := node.New(no)
 	force.node = n
 	p, err := platform.Start(o, n)
