--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -178,10 +178,8 @@
 		kd.hint, kd.fetch, kd.size = lk.Hint, lk.Fetch, lk.Size
 		for i := range min(len(lk.Rooms), len(kd.room)) {
 			r, lr := &kd.room[i], lk.Rooms[i]
-			if len(lr.Fit) == len(r.fit) {
-				copy(r.fit[:], lr.Fit)
-				r.more, r.most, r.tried, r.explore = lr.More, lr.Most, lr.Tried, lr.Explore
-			}
+			copy(r.fit[:], lr.Fit) // the older process may have had fewer places, or more
+			r.more, r.most, r.tried, r.explore = min(lr.More, MostFit-1), min(lr.Most, MostFit-1), lr.Tried, lr.Explore
 		}
 	}
 	for _, lw := range l.Workers {
--- a/internal/dispatch/learned_test.go
+++ b/internal/dispatch/learned_test.go
@@ -98,3 +98,42 @@
 	over.at(at+4020, func(d *Dispatcher) { over.end(1, 1, Finished) })
 	kept.Check(t, "succeeded", tr.log.String()+over.log.String())
 }
+
+// TestManyAtOnce: a worker that starts each at once is found to take as many as MostFit, and no more than are started at once
+// where it starts fewer. A process that learned from one with fewer or more places takes over what it has room for.
+func TestManyAtOnce(t *testing.T) {
+	for _, slots := range []int{5, 17, MostFit} {
+		s := plain()
+		tr := start(t, s)
+		tr.up("f1")
+		for id := uint64(1); id <= uint64(slots); id++ {
+			tr.arrive(id, 0, 400)
+			tr.at(tr.now+1, func(d *Dispatcher) { d.Noticed(id, 0, true, 0) })
+		}
+		if got := tr.sum["f1"]; got != slots {
+			t.Errorf("of %d that start at once %d were handed off", slots, got)
+		}
+		if got := tr.d.kinds[0].slots(); got != slots {
+			t.Errorf("%d slots are taken for %d", slots, got)
+		}
+		for _, places := range []int{16, MostFit + 1, 200} { // of the process that learned
+			l := tr.d.Learned()
+			want := min(slots, places-1)
+			for k := range l.Kinds[0].Rooms {
+				r := &l.Kinds[0].Rooms[k]
+				for len(r.Fit) < places {
+					r.Fit = append(r.Fit, 1)
+				}
+				r.Fit, r.Most = r.Fit[:places], min(r.Most, places-2)
+				if places > MostFit+1 {
+					r.Most, r.More, want = places-2, places-2, MostFit
+				}
+			}
+			next := start(t, s)
+			next.at(1, func(d *Dispatcher) { d.Recall(l) })
+			if got := next.d.kinds[0].slots(); got != want {
+				t.Errorf("%d slots, recalled with %d places: %d, wanted %d", slots, places, got, want)
+			}
+		}
+	}
+}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -112,13 +112,16 @@
 	unseen
 )
 
+// MostFit is how many work items that run at once on one worker can be learned.
+const MostFit = 64
+
 // A room is what was learned of how many work items run at once on one worker.
 type room struct {
-	fit     [16]float64 // smoothed: did the nth start at once? 1 always, -1 never, 0 not known
-	more    int         // most that do, beyond the first
-	tried   int         // how often one more did not
-	explore float64     // not before this time is one more tried
-	most    int         // the same where it is only likelier than not
+	fit     [MostFit + 1]float64 // smoothed: did the nth start at once? 1 always, -1 never, 0 not known
+	more    int                  // most that do, beyond the first
+	tried   int                  // how often one more did not
+	explore float64              // not before this time is one more tried
+	most    int                  // the same where it is only likelier than not
 }
 
 func (k *kind) slots() int { return max(1+k.room[seen].most, 1+k.room[unseen].most, k.free) }
