--- a/cmd/weldmast/fleet_test.go
+++ b/cmd/weldmast/fleet_test.go
@@ -219,6 +219,44 @@
 	})
 }
 
+// TestRefusedBySome: a version that one member accepts and another one's own configuration forbids: the one goes on with it, the
+// other stays with what it had, serves on and says key and fault; a later version that both accept is in force at both.
+func TestRefusedBySome(t *testing.T) {
+	path, err := voter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	free := newWorld(t)
+	l := free.port()
+	at := l.Addr().String()
+	l.Close()
+	v, m := newFleetWorld(t, "v", at, "serve", ""), newFleetWorld(t, "m", at, "stop", "")
+	v.swap = [2]string{fmt.Sprintf(`"peer_listen":%q,`, v.peerAt), ""} // it tells siblings nothing; the other one has two
+	v.wrap = func(c *exec.Cmd) { c.Path = path }
+	v.start()
+	m.start()
+	m.jobs(`200 under ""`)
+	publish := func(text string) {
+		t.Helper()
+		file := filepath.Join(t.TempDir(), "version.json")
+		v.must(os.WriteFile(file, []byte(text), 0o600))
+		exec2(t, binary, "fleet", "publish", file, "--at", v.at, "--fleet", "test")
+	}
+	publish(`{"mark":"one"}`)
+	m.jobs(`200 under "one"`)
+	publish(`{"mark":"two","settings":{"siblings":1}}`)
+	v.jobs(`200 under "two"`)
+	m.until("its word", func() bool {
+		return strings.Contains(exec2(t, binary, "fleet", "status", "--at", v.at, "--fleet", "test"), "refuses version 2: peers: 2 addresses for 1 siblings")
+	})
+	if got := m.job("older"); got != `200 under "one"` {
+		t.Errorf("the one that refuses: %s", got)
+	}
+	publish(`{"mark":"three"}`)
+	v.jobs(`200 under "three"`)
+	m.jobs(`200 under "three"`)
+}
+
 // exec2 runs a command that has to end well.
 func exec2(t *testing.T, name string, args ...string) string {
 	t.Helper()
