--- a/cmd/weldmast/fleet_test.go
+++ b/cmd/weldmast/fleet_test.go
@@ -59,6 +59,18 @@
 	return f
 }
 
+// newFleet is a voter and a follower, not yet started, with the program that votes and its address.
+func newFleet(t *testing.T) (path, at string, v, m *fleetWorld) {
+	path, err := voter()
+	if err != nil {
+		t.Fatal(err)
+	}
+	l := newWorld(t).port()
+	at = l.Addr().String()
+	l.Close()
+	return path, at, newFleetWorld(t, "v", at, "serve", ""), newFleetWorld(t, "m", at, "stop", "")
+}
+
 // client asks for one job on a connection of its own, and tells the status and what the worker saw.
 func (f *fleetWorld) job(id string) string {
 	answer := f.dial().ask(request(id, "/plan/x", ""))
@@ -87,15 +99,7 @@
 
 // TestFleet plays one voter and a follower as operators and clients see them.
 func TestFleet(t *testing.T) {
-	path, err := voter()
-	if err != nil {
-		t.Fatal(err)
-	}
-	free := newWorld(t)
-	l := free.port()
-	at := l.Addr().String()
-	l.Close()
-	v, m := newFleetWorld(t, "v", at, "serve", ""), newFleetWorld(t, "m", at, "stop", "")
+	path, at, v, m := newFleet(t)
 	cli := func(want int, args ...string) string {
 		t.Helper()
 		cmd := exec.Command(binary, append([]string{"fleet"}, append(args, "--at", m.at, "--fleet", "test")...)...)
@@ -222,15 +226,7 @@
 // TestRefusedBySome: a version that one member accepts and another one's own configuration forbids: the one goes on with it, the
 // other stays with what it had, serves on and says key and fault; a later version that both accept is in force at both.
 func TestRefusedBySome(t *testing.T) {
-	path, err := voter()
-	if err != nil {
-		t.Fatal(err)
-	}
-	free := newWorld(t)
-	l := free.port()
-	at := l.Addr().String()
-	l.Close()
-	v, m := newFleetWorld(t, "v", at, "serve", ""), newFleetWorld(t, "m", at, "stop", "")
+	path, _, v, m := newFleet(t)
 	v.swap = [2]string{fmt.Sprintf(`"peer_listen":%q,`, v.peerAt), ""} // it tells siblings nothing; the other one has two
 	v.wrap = func(c *exec.Cmd) { c.Path = path }
 	v.start()
