--- a/review/standin/settings.go
+++ b/review/standin/settings.go
@@ -14,18 +14,3 @@
 			{"name": "thumb", "semantics": "repeatable", "due_time": 4000000, "expiry": 10000000, "credit": 2.0},
 			{"name": "order", "semantics": "once", "due_time": 4000000, "expiry": 10000000, "credit": 10.0}}}
 }
-
-// lakeshoreSettings are those of a small deployment with the figures of lakeshore-main: lists are asked for, schedulers
-// share nothing, second copies are not allowed, three hand-offs are.
-func lakeshoreSettings() object {
-	return object{"siblings": 3, "position": 0, "granularity": 5000, "discovery": "ask",
-		"localities": []string{"here"}, "locality": "here", "machine_types": []string{"fast"},
-		"allowed": object{"max_hand_offs": 3, "may_cancel": true, "second_copies": false, "peers": false, "retry_after": true, "max_retry_after": 2000000,
-			"conn_idle": 15000000, "connect_timeout": 250000, "open_cap": 20000},
-		"safety":      object{"answer_slack": 20000, "ask_within": 10000000, "start_capacity": 0.15, "cold": 24000000, "fall": 1000000, "fall_multiple": 2.5, "drain_grace": 2000000},
-		"family_info": object{"tells_start": true, "progress": 1000000, "class_stretch": []float64{1.75, 2.0}, "class_kind": []int{-1, -1}},
-		"realms":      []object{{"name": "acme", "allowance_per_s": 1000.0}},
-		"categories": []object{
-			{"name": "thumb", "semantics": "repeatable", "due_time": 6000000, "expiry": 10000000, "credit": 5.0},
-			{"name": "order", "semantics": "once", "due_time": 5000000, "expiry": 5000000, "credit": 8.0}}}
-}
