Review: ports below those of outgoing connections

Cause: a free port could be taken by an outgoing connection before the process bound it; one play of a case that was left out could not run.

--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -13,6 +13,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -57,13 +58,6 @@
 	os.Stdout.WriteString(line)
 }
 
-// note writes a line to the record alone.
-func (e *env) note(format string, a ...any) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	fmt.Fprintf(e.out, "%8.3f %s\n", time.Since(e.start).Seconds(), fmt.Sprintf(format, a...))
-}
-
 // fatal ends the case: it could not run.
 func (e *env) fatal(format string, a ...any) {
 	e.say("COULD NOT RUN: "+format, a...)
@@ -179,14 +173,17 @@
 	}
 }
 
-// freeAddr returns a loopback address whose port is free.
+// freeAddr returns a loopback address whose port is free, below those that the system gives to outgoing connections.
 func (e *env) freeAddr() string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		e.fatal("%v", err)
+	for range 200 {
+		addr := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
+		if l, err := net.Listen("tcp4", addr); err == nil {
+			l.Close()
+			return addr
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	e.fatal("no free port")
+	return ""
 }
 
 // listen opens a listener on a free loopback port.
