--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -40,6 +40,7 @@
 	dir     string // temporary folder
 	trouble bool
 	start   time.Time
+	given   map[string]bool // addresses that freeAddr has returned
 
 	mu     sync.Mutex
 	out    *os.File
@@ -179,7 +180,10 @@
 		addr := fmt.Sprintf("127.0.0.1:%d", 10000+rand.IntN(20000))
 		if l, err := net.Listen("tcp4", addr); err == nil {
 			l.Close()
-			return addr
+			if !e.given[addr] {
+				e.given[addr] = true
+				return addr
+			}
 		}
 	}
 	e.fatal("no free port")
@@ -342,7 +346,7 @@
 		fmt.Println(err)
 		os.Exit(cannot)
 	}
-	e := &env{root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", start: time.Now()}
+	e := &env{root: root, dir: dir, trouble: os.Getenv("TROUBLE") != "0", start: time.Now(), given: map[string]bool{}}
 	if e.out, err = os.Create(filepath.Join(os.Args[2], "record.txt")); err != nil {
 		fmt.Println(err)
 		os.Exit(cannot)
