--- a/review/standin/common.go
+++ b/review/standin/common.go
@@ -23,6 +23,7 @@
 	"runtime"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -42,10 +43,13 @@
 	start   time.Time
 	given   map[string]bool // addresses that freeAddr has returned
 
+	interrupted atomic.Bool // the case is told to stop: its result counts no more
+	ending      sync.Once
+
 	mu     sync.Mutex
 	out    *os.File
 	procs  []*proc
-	closed bool
+	closed bool // no further process is started
 }
 
 // say writes a line to the record and to standard output.
@@ -108,17 +112,23 @@
 	defer log.Close()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := p.cmd.Start(); err != nil {
+	e.mu.Lock()
+	if e.closed {
+		e.mu.Unlock()
+		select {} // the process ends
+	}
+	if err = p.cmd.Start(); err == nil {
+		e.procs = append(e.procs, p)
+		go func() {
+			p.err = p.cmd.Wait()
+			close(p.done)
+		}()
+	}
+	e.mu.Unlock()
+	if err != nil {
 		e.fatal("%s: %v", name, err)
 	}
 	e.say("started %s, pid %d: %s", name, p.cmd.Process.Pid, command)
-	go func() {
-		p.err = p.cmd.Wait()
-		close(p.done)
-	}()
-	e.mu.Lock()
-	e.procs = append(e.procs, p)
-	e.mu.Unlock()
 	return p
 }
 
@@ -139,27 +149,22 @@
 	}
 }
 
-// stop ends all processes and removes the temporary folder.
+// stop ends all processes and removes the temporary folder. A second caller waits for the first.
 func (e *env) stop() {
-	e.mu.Lock()
-	procs, closed := e.procs, e.closed
-	e.closed = true
-	e.mu.Unlock()
-	if closed {
-		return
-	}
-	for _, p := range procs {
-		if !p.ended() {
-			p.cmd.Process.Signal(syscall.SIGCONT)
-			p.cmd.Process.Kill()
-			<-p.done
+	e.ending.Do(func() {
+		e.mu.Lock()
+		procs := e.procs
+		e.closed = true
+		e.mu.Unlock()
+		for _, p := range procs {
+			if !p.ended() {
+				p.cmd.Process.Signal(syscall.SIGCONT)
+				p.cmd.Process.Kill()
+				<-p.done
+			}
 		}
-	}
-	if os.Getenv("KEEP") == "" {
 		os.RemoveAll(e.dir)
-	} else {
-		fmt.Println("kept", e.dir)
-	}
+	})
 }
 
 // tail copies the last lines of a process's log to the record.
@@ -358,10 +363,14 @@
 		case <-stopped:
 		case <-time.After(110 * time.Second):
 		}
+		e.interrupted.Store(true)
 		e.fatal("stopped, or not done after 110 s")
 	}()
 	e.say("case %s, trouble %v", os.Args[1], e.trouble)
 	result := play(e)
+	if e.interrupted.Load() {
+		select {} // the goroutine above ends the process
+	}
 	e.say("%s", map[int]string{held: "RULE HELD", broken: "RULE BROKEN", cannot: "COULD NOT RUN"}[result])
 	e.stop()
 	os.Exit(result)
