--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -89,6 +89,7 @@
 	known           string
 	idleMicros      int // conn_idle, in microseconds
 	sockets         int
+	memoryMB        int
 	swap            [2]string // a text of the configuration and its replacement
 	configPath      string    // path of the configuration
 	operatorPath    string    // path of the operator's file; empty: none
@@ -136,7 +137,7 @@
 })
 
 func newTestEnv(t *testing.T) *testEnv {
-	e := &testEnv{t: t, listChanged: make(chan struct{}), idleMicros: 15e6, sockets: 1024, known: "null"}
+	e := &testEnv{t: t, listChanged: make(chan struct{}), idleMicros: 15e6, sockets: 1024, memoryMB: 192, known: "null"}
 	l := e.listenPort()
 	e.discoveryAddr = l.Addr().String()
 	e.discoveryServer = &http.Server{Handler: http.HandlerFunc(e.serveDiscovery)}
@@ -426,8 +427,8 @@
 // program.
 func (e *testEnv) writeConfig(old, new string) []string {
 	text := fmt.Sprintf(`{"name":"n0","listen":%q,"discovery":%q,"seed":"8c1f30d27a5be964",
-		"limits":{"cores":1.0,"memory_mb":192,"sockets":%d},"peer_listen":%q,"peers":[%q,%q],"peers_all":%q,
-		"known":%s,"settings":%s}`, e.listen, e.discoveryAddr, e.sockets, e.peerAddr, e.peerAddr, e.peer.LocalAddr(),
+		"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"peer_listen":%q,"peers":[%q,%q],"peers_all":%q,
+		"known":%s,"settings":%s}`, e.listen, e.discoveryAddr, e.memoryMB, e.sockets, e.peerAddr, e.peerAddr, e.peer.LocalAddr(),
 		e.peer.LocalAddr(), e.known, fmt.Sprintf(settings, e.idleMicros))
 	if e.configPath == "" {
 		e.configPath = filepath.Join(e.t.TempDir(), "config.json")
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -36,6 +36,9 @@
 	return [...]string{"starting", "serving", "draining", "stopped"}[p]
 }
 
+// Ready reports whether clients may be sent to a process in this phase.
+func (p Phase) Ready() bool { return p == Serving }
+
 // Times and limits of the process itself, times in milliseconds. What operators can set is in the settings.
 const (
 	cachedListDelay = 500 // the cached list of workers is used if discovery has not answered for this long
@@ -134,9 +137,10 @@
 	Category int
 	Tenant   int
 	Hint     float64
-	Key      string  // key of the data that the work item needs; empty: none
-	Expiry   float64 // time on the clock of Now
-	Message  any
+	Key      string      // key of the data that the work item needs; empty: none
+	Expiry   float64     // time on the clock of Now
+	Message  any         // set to nil by the event loop once the client has its answer
+	NotKept  bool        // the transport had no memory for its content: it can only be deferred
 	Respond  func(Reply) // called once, by the event loop; must not block
 	item     *workItem   // owned by the event loop
 }
@@ -749,8 +753,9 @@
 		n.recordAction(fleet.Deferred)
 		req.Respond(r)
 		return
-	// The configured limit is reached, or no descriptor is left for another waiting client.
-	case n.open >= min(n.maxOpen, n.clientLimit):
+	// No memory is left for its content, the configured limit is reached, or no descriptor is left for another
+	// waiting client.
+	case req.NotKept, n.open >= min(n.maxOpen, n.clientLimit):
 		r := Reply{Result: Deferred}
 		if n.settings.MayAdviseRetryAfter {
 			r.RetryAfter = min(overloadRetryAfter, n.settings.MaxRetryAfter)
@@ -776,6 +781,7 @@
 		return
 	}
 	it.answered = true
+	it.request.Message = nil // it is not sent any more, and the work item may outlive its client by far
 	n.open--
 	n.lastAnswer = n.now
 	switch r.Result {
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -113,7 +113,7 @@
 	c.Links.MaxOpen = min(c.Links.MaxOpen, c.Sockets/2)
 	options := transport.Options{Listen: c.Listen, PeerListen: c.PeerListen, Peers: c.Peers,
 		PeersAll: c.PeersAll, PeerIndex: c.Settings.Position, Names: c.Names, Connections: c.Links,
-		SecondCopies: c.Settings.SecondCopies, DiscoveryOnRequest: c.Settings.DiscoveryOnRequest, MaxSockets: c.Sockets}
+		SecondCopies: c.Settings.SecondCopies, DiscoveryOnRequest: c.Settings.DiscoveryOnRequest, MaxSockets: c.Sockets, MemoryBytes: int64(c.MemoryMB) << 20}
 	for _, category := range c.Settings.Categories {
 		options.Expiries = append(options.Expiries, category.Expiry)
 	}
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -5,104 +5,38 @@
 package transport
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"io"
 	"log/slog"
 	"net"
 	"os"
 	"runtime"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
-
-	"github.com/valyala/fasthttp"
 )
 
-// uniqueHeaders may occur only once in a request: this program and a worker could read a request with two of
-// them differently.
-var uniqueHeaders = [...]string{contentLength: "Content-Length", transferEncoding: "Transfer-Encoding", 2: "Host", "X-Request-Id", "X-Tenant",
-	"X-Deadline", "X-Cost-Hint", "X-Retry", "X-Extras"}
-
-const contentLength, transferEncoding = 0, 1 // indexes of the headers that frame the body
-
-// headFault returns the reason why parsers could read a request head differently, or an empty string.
-// fasthttp is more lenient: it accepts lone line feeds, folded lines, blanks in names, and Content-Length
-// beside Transfer-Encoding, whose body may hide another request (request smuggling).
-func headFault(h *fasthttp.RequestHeader) string {
-	if v := string(h.Protocol()); v != "HTTP/1.1" && v != "HTTP/1.0" {
-		return "not HTTP/1.1 or 1.0"
-	}
-	var present [len(uniqueHeaders)]bool
-	for rest := h.RawHeaders(); len(rest) > 0; {
-		line, next, terminated := bytes.Cut(rest, []byte("\r\n"))
-		if !terminated {
-			return "a header line does not end in CRLF"
-		}
-		rest = next
-		if len(line) == 0 {
-			break
-		}
-		for _, b := range line {
-			if b < ' ' && b != '\t' || b == 0x7f {
-				return "a control character in a header"
-			}
-		}
-		name, value, _ := bytes.Cut(line, []byte(":"))
-		if len(name) == 0 || bytes.ContainsAny(name, " \t") {
-			return "a header's name is empty or holds a blank"
+// serve accepts connections until the listener is closed. It never waits for another client's request to end:
+// clients that wait for an answer, callbacks and requests for /ready must get through a flood of other
+// connections.
+func (c *clientServer) serve() {
+	for {
+		conn, err := c.acceptNext()
+		if errors.Is(err, net.ErrClosed) {
+			return
 		}
-		for k, unique := range uniqueHeaders {
-			if !strings.EqualFold(unique, string(name)) {
-				continue
-			}
-			if present[k] {
-				return unique + " stands there twice"
-			}
-			present[k] = true
-			if k == transferEncoding && !strings.EqualFold(strings.TrimSpace(string(value)), "chunked") {
-				return "Transfer-Encoding is not chunked"
-			}
+		if err != nil {
+			slog.Error("serve", "err", err)
+			return
 		}
+		go c.serveConn(c.admit(conn))
 	}
-	if present[contentLength] && present[transferEncoding] {
-		return "both Content-Length and Transfer-Encoding"
-	}
-	return ""
-}
-
-// dropTrailers parses the head again without the fields that followed the body. fasthttp adds those to the
-// head, where one could take the place of a missing request ID. They have no meaning here and are not passed
-// on.
-func dropTrailers(h *fasthttp.RequestHeader) bool {
-	text := append(append(append([]byte(nil), h.Method()...), ' '), h.RequestURI()...)
-	text = append(append(append(append(text, ' '), h.Protocol()...), "\r\n"...), h.RawHeaders()...)
-	var clean fasthttp.RequestHeader
-	if clean.Read(bufio.NewReaderSize(bytes.NewReader(append(text, "\r\n"...)), maxHead)) != nil {
-		return false
-	}
-	clean.Del("Trailer") // the announced fields are removed
-	clean.CopyTo(h)
-	return len(h.PeekTrailerKeys()) == 0
-}
-
-// Accept makes clientServer the listener that fasthttp serves. It never waits for another client's request to
-// end: clients that wait for an answer, callbacks and requests for /ready must get through a flood of other
-// connections.
-func (c *clientServer) Accept() (net.Conn, error) {
-	conn, err := c.acceptNext()
-	if err != nil {
-		return nil, err
-	}
-	return c.admit(conn), nil
 }
 
 // acceptNext returns the next incoming connection; none while the gate is paused. A lack of descriptors or
-// memory is temporary: fasthttp would treat any error as the end of the listener, and the program would serve
-// nobody from then on.
+// memory is temporary: if it ended the listener, the program would serve nobody from then on.
 func (c *clientServer) acceptNext() (net.Conn, error) {
 	for {
 		c.acceptGate.wait()
@@ -112,7 +46,7 @@
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
 			slog.Warn("accept", "accept", err)
 			c.onConnError(err)
-			c.evictOne(nil)
+			c.evictOne(nil, anyConn)
 			time.Sleep(acceptRetry)
 		default:
 			return conn, err
@@ -134,10 +68,10 @@
 	c.mu.Unlock()
 	if c.overLimit() {
 		runtime.Gosched() // let pending reads happen first
-		for c.overLimit() && (c.evictOne(cc) || c.evictOne(nil)) {
+		for c.overLimit() && (c.evictOne(cc, anyConn) || c.evictOne(nil, anyConn)) {
 		}
 	}
-	for int64(c.server.GetOpenConnectionsCount()) >= 2*c.maxConns.Load() { // closed connections have yet to end
+	for c.endingSessions() > max(c.maxConns.Load()/endingShare, minClientConns) {
 		time.Sleep(time.Millisecond)
 	}
 }
@@ -147,13 +81,6 @@
 	c.serveConn(c.admit(conn))
 }
 
-// serveConn serves further requests on a connection that this listener did not accept.
-func (c *clientServer) serveConn(cc *clientConn) {
-	if err := c.server.ServeConn(cc); err != nil && !errors.Is(err, io.EOF) {
-		slog.Debug("adopted", "err", err)
-	}
-}
-
 // giveAwayIdle gives away the connections on which no request has begun, and those that become idle later.
 // Their clients notice nothing, whereas a close could cross a request.
 func (c *clientServer) giveAwayIdle(give func(syscall.Conn) bool) {
@@ -163,6 +90,13 @@
 	}
 }
 
+// endingSessions returns how many sessions have yet to end although their connections are closed.
+func (c *clientServer) endingSessions() int64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.sessions.Load() - int64(len(c.conns))
+}
+
 // overLimit reports whether there are more connections than the limit allows.
 func (c *clientServer) overLimit() bool {
 	c.mu.Lock()
@@ -170,7 +104,10 @@
 	return len(c.conns) > int(c.maxConns.Load())
 }
 
-// evictOne closes one connection, in this order:
+// anyConn makes evictOne consider all connections.
+func anyConn(*clientConn) bool { return true }
+
+// evictOne closes one of the eligible connections, in this order:
 //
 //   - the one that has gone longest without ever carrying work or a callback: silent, idle after a request for
 //     /ready, or with an incomplete request, whose time since the last read counts only a quarter;
@@ -181,11 +118,11 @@
 // descriptors. A usual client sends its request at once and so is young in the first group. The newcomer that
 // needs the place is never chosen: if all other connections have carried work, it would be evicted first, and
 // no callback would get in.
-func (c *clientServer) evictOne(newcomer *clientConn) bool {
+func (c *clientServer) evictOne(newcomer *clientConn, eligible func(*clientConn) bool) bool {
 	var victim *clientConn
 	var lowest evictionPriority
 	for _, conn := range c.snapshot() {
-		if s := conn.priority(); conn != newcomer && s.rank < rankServing && (victim == nil || s.before(lowest)) {
+		if s := conn.priority(); conn != newcomer && s.rank < rankServing && eligible(conn) && (victim == nil || s.before(lowest)) {
 			victim, lowest = conn, s
 		}
 	}
@@ -224,7 +161,7 @@
 }
 
 // clientConn is a connection that can be closed between requests without losing one, and that notices while a
-// request is served that its client disconnects. fasthttp's handler does not notice that.
+// request is served that its client disconnects.
 type clientConn struct {
 	net.Conn
 	owner            *clientServer
@@ -240,10 +177,13 @@
 	closing          bool          // to be closed, unless part of a request was read before
 	forceClosed      bool          // closed, whatever was read
 	offered          bool          // to be given away once it is idle
-	lastByte         byte          // last byte read of the request line
-	lineRead         bool          // the request line is complete
-	badLine          bool          // the request line does not end in CRLF
+	headBuffered     bool          // the head is in the read buffer: a read for more of it fails
+	closed           bool          // Close was called
+	arrivingSince    time.Time     // time since when memory is reserved for a request that is arriving; zero: none is
+	answerBytes      int64         // reserved for the answer that is being written
+	answerSince      time.Time     // time when its writing began
 	pipelined        []byte        // bytes read beyond the request being served
+	pipelinedBytes   int64         // reserved for them
 	pipelineOverflow bool          // they exceeded maxPipelined
 	watchDone        chan struct{} // closed when the watch has ended
 	watchStopping    atomic.Bool   // the watch is to end
@@ -253,9 +193,11 @@
 // accepted from it that the client believes unread.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n, err := 0, error(nil)
+	if c.headBuffered {
+		return 0, errHeadEnd
+	}
 	if len(c.pipelined) > 0 {
-		n = copy(p, c.pipelined)
-		c.pipelined = c.pipelined[n:]
+		n = c.takePipelined(p)
 	} else if n, err = c.Conn.Read(p); n == 0 && c.giveAway(err) {
 		return 0, io.EOF
 	} else if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
@@ -276,7 +218,7 @@
 		return 0, io.EOF
 	}
 	if n > 0 {
-		c.recordRead(p[:n])
+		c.recordRead()
 	}
 	return n, err
 }
@@ -342,23 +284,13 @@
 
 // recordRead records a read and extends the deadline for the rest of the request: a slow client is not a
 // silent one. The lock is held.
-func (c *clientConn) recordRead(p []byte) {
+func (c *clientConn) recordRead() {
 	c.markStarted()
 	if c.lastRead = time.Now(); c.reads == 0 {
 		c.firstRead = c.lastRead
 	}
 	c.reads++
 	c.Conn.SetReadDeadline(earlier(c.lastRead.Add(readTimeout), c.firstRead.Add(c.owner.maxRequestTime)))
-	if c.lineRead {
-		return
-	}
-	if k := bytes.IndexByte(p, '\n'); k >= 0 {
-		if k > 0 {
-			c.lastByte = p[k-1]
-		}
-		c.lineRead, c.badLine = true, c.lastByte != '\r'
-	}
-	c.lastByte = p[len(p)-1]
 }
 
 func earlier(a, b time.Time) time.Time {
@@ -396,20 +328,37 @@
 	c.proven = true
 }
 
-// markServing records that a request is about to be served. It returns false if the request line is invalid.
-func (c *clientConn) markServing() bool {
+// markArriving records that memory is reserved for a request that is arriving.
+func (c *clientConn) markArriving() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.serving, c.started = true, true
-	return !c.badLine
+	if c.arrivingSince.IsZero() {
+		c.arrivingSince = time.Now()
+	}
+}
+
+// arrivesSlowly reports whether memory has been reserved for longer than slowClientGrace for a request that is
+// still arriving.
+func (c *clientConn) arrivesSlowly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.arrivingSince.IsZero() && time.Since(c.arrivingSince) > slowClientGrace
+}
+
+// markServing records that a request has arrived and is about to be served.
+func (c *clientConn) markServing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.serving, c.started, c.arrivingSince = true, true, time.Time{}
 }
 
 // markIdle records that the request has been answered.
 func (c *clientConn) markIdle() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.since, c.used, c.serving, c.started, c.lineRead, c.lastByte, c.reads = time.Now(), true, false, false, false, 0, 0
+	c.since, c.used, c.serving, c.started, c.reads = time.Now(), true, false, false, 0
 	c.offered = c.owner.giveAway.Load() != nil
+	c.releaseAnswer()
 }
 
 // evict closes the connection, unless a request is served on it by now, or it was idle and unread bytes have
@@ -423,7 +372,7 @@
 		c.markStarted()
 	default:
 		c.closing, c.forceClosed = true, true
-		c.Close()
+		c.closeLocked()
 	}
 }
 
@@ -452,6 +401,16 @@
 
 // Close closes the connection.
 func (c *clientConn) Close() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closeLocked()
+}
+
+// closeLocked closes the connection and releases its memory. The lock is held.
+func (c *clientConn) closeLocked() error {
+	c.closed = true
+	c.releaseAnswer()
+	c.releasePipelined()
 	c.owner.mu.Lock()
 	delete(c.owner.conns, c)
 	c.owner.mu.Unlock()
@@ -480,12 +439,64 @@
 }
 
 // keepPipelined keeps bytes that arrived before the current request was answered. This guards against clients
-// that send more than one request ahead: then none of it is kept, and the connection is closed after the
-// answer.
+// that send more than one request ahead, or more than there is memory for: then none of it is kept, and the
+// connection is closed after the answer.
 func (c *clientConn) keepPipelined(p []byte) {
-	if c.pipelined = append(c.pipelined, p...); len(c.pipelined) > maxPipelined {
-		c.pipelined, c.pipelineOverflow = nil, true
+	if len(p) == 0 || c.pipelineOverflow {
+		return
 	}
+	if ahead := len(c.pipelined) + len(p); ahead > maxPipelined || !c.reservePipelined(ahead) {
+		c.dropPipelined()
+		c.pipelineOverflow = true
+		return
+	}
+	c.pipelined = append(c.pipelined, p...)
+}
+
+// reservePipelined reserves memory for bytes that are sent ahead. It returns false if there is too little.
+func (c *clientConn) reservePipelined(ahead int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	needed := pipelinedCopies * int64(max(ahead-pipelineChunk, 0))
+	if c.closed || !c.owner.memory.waiting.tryReserve(needed-c.pipelinedBytes) {
+		return false
+	}
+	c.pipelinedBytes = max(needed, c.pipelinedBytes)
+	return true
+}
+
+// reserveAhead reserves memory for pipelined bytes that were received together with the connection.
+func (c *clientConn) reserveAhead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pipelinedBytes = int64(max(len(c.pipelined)-pipelineChunk, 0))
+	c.owner.memory.waiting.reserve(c.pipelinedBytes)
+}
+
+// takePipelined moves pipelined bytes to p and returns how many there were.
+func (c *clientConn) takePipelined(p []byte) int {
+	n := copy(p, c.pipelined)
+	if c.pipelined = c.pipelined[n:]; len(c.pipelined) == 0 {
+		c.dropPipelined()
+	}
+	return n
+}
+
+// unread puts bytes back that were read last.
+func (c *clientConn) unread(p []byte) { c.pipelined = append(slices.Clone(p), c.pipelined...) }
+
+// dropPipelined drops the pipelined bytes and releases their memory.
+func (c *clientConn) dropPipelined() {
+	c.pipelined = nil
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.releasePipelined()
+}
+
+// releasePipelined releases the memory of pipelined bytes. The lock is held.
+func (c *clientConn) releasePipelined() {
+	c.owner.memory.waiting.release(c.pipelinedBytes)
+	c.pipelinedBytes = 0
 }
 
 // peek reports, without reading anything, whether bytes wait to be read, and whether the client has closed
--- a/internal/transport/races_test.go
+++ b/internal/transport/races_test.go
@@ -758,15 +758,15 @@
 		q.Header.SetMethod("POST")
 		q.Header.Set("X-Request-Id", "a")
 		q.Header.SetRequestURI(path)
-		client, status, err := c.decode(&q, []byte(path))
+		job, _, fault := c.decodeJob(&q.Header, []byte(path))
 		got := -1
-		if err == nil {
-			got = client.Category
-		} else if status != fasthttp.StatusNotFound {
-			t.Errorf("%s: %d %v", path, status, err)
+		if fault == nil {
+			got = job.Category
+		} else if fault.status != fasthttp.StatusNotFound {
+			t.Errorf("%s: %d %v", path, fault.status, fault)
 		}
 		if got != want {
-			t.Errorf("%s: category %d, wanted %d (%v)", path, got, want, err)
+			t.Errorf("%s: category %d, wanted %d (%v)", path, got, want, fault)
 		}
 	}
 }
--- a/internal/transport/takeover.go
+++ b/internal/transport/takeover.go
@@ -4,7 +4,6 @@
 package transport
 
 import (
-	"bufio"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -168,14 +167,25 @@
 	if t.halved {
 		budget /= 2
 	}
-	// With few descriptors, those that the process itself needs come first.
-	maxClients := int(max(min(clientShare*budget, clientShareOfRest*(budget-reservedSockets)), minClientConns))
+	memory := t.options.MemoryBytes
+	if t.halved {
+		memory /= 2
+	}
+	t.clients.memory.setLimits(memory)
+	maxClients := maxClientConns(budget, memory)
 	t.clients.maxConns.Store(int64(maxClients))
 	t.workers.setLimit(int(max(min(workerShare*budget, (1-clientShareOfRest)*(budget-reservedSockets)), minWorkerConns)))
 	// Waiting clients must leave descriptors for the callbacks that end their work items.
 	t.node.Enqueue(node.ClientLimit{Max: maxClients - max(maxClients/6, minCallbackConns)})
 }
 
+// maxClientConns returns how many connections of clients the descriptors and the memory allow. With few
+// descriptors, those that the process itself needs come first.
+func maxClientConns(sockets float64, memory int64) int {
+	bySockets := int(min(clientShare*sockets, clientShareOfRest*(sockets-reservedSockets)))
+	return max(min(bySockets, connsWithin(memory)), minClientConns)
+}
+
 // SuccessorConnected tells the node that a successor is ready.
 func (t *Transport) SuccessorConnected() { t.node.Enqueue(node.SuccessorReady{}) }
 
@@ -192,6 +202,8 @@
 // handOver passes a job to the successor. It returns false if that failed: the caller then answers the client
 // as for a job that may have run.
 func (t *Transport) handOver(conn *clientConn, j *node.Job, m *message) bool {
+	t.transferMu.Lock() // one at a time: each has its job several times in memory
+	defer t.transferMu.Unlock()
 	text, err := json.Marshal(transferredJob{*j, m.head, m.body, conn.pipelined, conn.pipelineOverflow})
 	if err == nil {
 		err = t.options.Exchange.TransferJob(conn.Conn.(syscall.Conn), text)
@@ -213,16 +225,41 @@
 	// Enqueued here, so that the node has it before it learns that the predecessor has ended.
 	cc := &clientConn{Conn: conn, owner: t.clients, since: time.Now(), started: true, serving: true, proven: true, pipelined: transferred.Ahead, pipelineOverflow: transferred.Spilt}
 	client := &node.Request{ID: transferred.Job.ID, Category: transferred.Job.Category, Tenant: transferred.Job.Tenant, Hint: transferred.Job.Hint,
-		Key: transferred.Job.Key, Expiry: transferred.Job.Expiry, Message: &message{head: transferred.Head, body: transferred.Body}}
+		Key: transferred.Job.Key, Expiry: transferred.Job.Expiry}
+	m := t.clients.keepTransferred(transferred)
+	client.Message = m
+	cc.reserveAhead()
 	reply := cc.expectReply(client)
 	t.clients.metrics.JobAccepted()
 	t.node.Enqueue(node.JobAdopted{Request: client, Job: transferred.Job})
-	go t.clients.serveAdopted(cc, client, reply)
+	go t.clients.serveAdopted(cc, client, m, reply)
+}
+
+// keepTransferred returns the request of a job that the predecessor handed over. Its memory is reserved even
+// if there is too little: the predecessor has accepted the job.
+func (c *clientServer) keepTransferred(transferred transferredJob) *message {
+	bytes := beyondSmall(len(transferred.Head) + len(transferred.Body))
+	c.memory.waiting.reserve(bytes)
+	return &message{head: transferred.Head, body: transferred.Body, memory: newReservation(&c.memory.waiting, bytes)}
 }
 
 // serveAdopted answers an adopted job and continues to serve its connection.
-func (c *clientServer) serveAdopted(cc *clientConn, client *node.Request, reply <-chan node.Reply) {
+func (c *clientServer) serveAdopted(cc *clientConn, client *node.Request, m *message, reply <-chan node.Reply) {
 	c.register(cc)
+	if !c.answerAdopted(cc, client, m, reply) {
+		cc.Close()
+		return
+	}
+	cc.markIdle()
+	c.serveConn(cc)
+}
+
+// answerAdopted waits for the reply to an adopted job and writes it. It returns false if the connection is to be
+// closed.
+func (c *clientServer) answerAdopted(cc *clientConn, client *node.Request, m *message, reply <-chan node.Reply) bool {
+	defer m.memory.letGo()
+	s := &session{server: c, conn: cc, response: fasthttp.AcquireResponse()}
+	defer fasthttp.ReleaseResponse(s.response)
 	r := node.Reply{Result: node.WrittenOff}
 	cc.watchClose(func() { c.node.Enqueue(node.ClientDisconnected{Request: client}) })
 	select {
@@ -230,27 +267,8 @@
 	case <-c.node.Done():
 	}
 	cc.stopWatch()
-	if r.Result == node.HandedOver && c.handOver(cc, r.Job, client.Message.(*message)) {
-		c.metrics.ClientLeft()
-		cc.Close()
-		return
-	}
-	var ctx fasthttp.RequestCtx
-	writeReply(&ctx, r)
-	c.countResult(client.Category, r.Result)
-	out := bufio.NewWriter(cc)
-	cc.SetWriteDeadline(time.Now().Add(readTimeout))
-	err := ctx.Response.Write(out)
-	if err == nil {
-		err = out.Flush()
-	}
-	if err != nil || ctx.Response.ConnectionClose() || cc.pipelineOverflow || c.closeAfterAnswer.Load() {
-		cc.Close()
-		return
-	}
-	cc.SetWriteDeadline(time.Time{})
-	cc.markIdle()
-	c.serveConn(cc)
+	handedOver := s.finishJob(client, m, r)
+	return !handedOver && s.respond(requestHead{})
 }
 
 // forwardedCallback is a callback as one process passes it to the other.
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -36,6 +36,7 @@
 	SecondCopies       bool      // a work item may run more than once
 	DiscoveryOnRequest bool      // discovery only answers requests, it does not push changes
 	MaxSockets         int
+	MemoryBytes        int64            // memory limit of the process; 0: none
 	Metrics            *metrics.Metrics // nil: none are collected
 	Guard              node.LeaseGuard  // nil: this process belongs to no fleet
 	// Exchange connects to other processes of this dispatcher; nil: there are none, and the addresses are not
@@ -51,16 +52,17 @@
 
 // Transport implements node.Transport over sockets.
 type Transport struct {
-	clients   *clientServer
-	workers   *workerPool
-	discovery *discoveryClient
-	peers     *peerLink
-	options   Options
-	node      *node.Node
-	stop      context.CancelFunc
-	running   sync.WaitGroup
-	limitMu   sync.Mutex // guards options.MaxSockets and halved
-	halved    bool
+	clients    *clientServer
+	workers    *workerPool
+	discovery  *discoveryClient
+	peers      *peerLink
+	options    Options
+	node       *node.Node
+	stop       context.CancelFunc
+	running    sync.WaitGroup
+	limitMu    sync.Mutex // guards options.MaxSockets and halved
+	halved     bool
+	transferMu sync.Mutex // held while a job is handed over
 }
 
 // Shares of the limit on sockets. The rest is for discovery, peers, files and the runtime. At most half of
@@ -126,7 +128,7 @@
 		t.applyLimits()
 	}
 	t.limitMu.Unlock()
-	for t.clients.overLimit() && t.clients.evictOne(nil) {
+	for t.clients.overLimit() && t.clients.evictOne(nil, anyConn) {
 	}
 }
 
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -36,36 +36,30 @@
 	settleTime = 20 * time.Millisecond
 )
 
-// message is a client's request as it goes to any worker, encoded once, without the lines that differ between
-// workers.
+// message is a client's request as it goes to any worker, without the lines that differ between workers.
 type message struct {
 	head        []byte
 	body        []byte
-	clientWaits func() bool // reports whether its client still waits for the answer
+	clientWaits func() bool  // reports whether its client still waits for the answer
+	memory      *reservation // for both; nil: they are part of connBytes
 }
 
-// hopHeaders are the headers that concern only the client's connection, or that each hand-off sets itself.
-var hopHeaders = []string{"Host", "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding", "Te", "Trailer",
-	"Upgrade", "Expect", "X-Deadline"}
-
-// newMessage copies a request: method, path, query, body and ID byte for byte.
-func newMessage(r *fasthttp.Request) *message {
-	var h fasthttp.RequestHeader
-	r.Header.CopyTo(&h)
-	for _, name := range hopHeaders {
-		h.Del(name)
-	}
-	body := r.Body()
-	h.SetProtocol("HTTP/1.1")
-	h.SetNoDefaultContentType(true)
-	h.SetContentLength(len(body))
-	head := h.AppendBytes(nil)
-	return &message{head: head[:len(head)-2], body: slices.Clone(body)}
+// contentLengthBytes is the room that setBody needs in the head.
+const contentLengthBytes = len("Content-Length: 65536\r\n")
+
+// setBody completes a message whose head lacks the length of the body.
+func (m *message) setBody(body []byte) {
+	m.body = body
+	m.head = append(m.head, "Content-Length: "...)
+	m.head = strconv.AppendInt(m.head, int64(len(body)), 10)
+	m.head = append(m.head, "\r\n"...)
 }
 
-// encode returns the complete request for one worker.
-func (m *message) encode(addr string, timeout float64, mark string) []byte {
-	b := make([]byte, 0, len(m.head)+len(m.body)+len(addr)+len(mark)+80)
+// encode returns the request for one worker. A large body is not part of it: it is returned as it is, so that
+// it is not copied for each hand-off.
+func (m *message) encode(addr string, timeout float64, mark string) (head, body []byte) {
+	const otherBytes = 80 // names, numbers and line ends of the added lines
+	b := make([]byte, 0, len(m.head)+len(addr)+len(mark)+otherBytes+min(len(m.body), smallRequest))
 	b = append(b, m.head...)
 	b = append(b, "Host: "...)
 	b = append(b, addr...)
@@ -75,7 +69,10 @@
 		b = append(append(b, "\r\nX-Release: "...), mark...)
 	}
 	b = append(b, "\r\n\r\n"...)
-	return append(b, m.body...)
+	if len(m.body) > smallRequest {
+		return b, m.body
+	}
+	return append(b, m.body...), nil
 }
 
 // workerConn is a connection that carries one request at a time.
@@ -306,13 +303,17 @@
 
 func (w *workerPool) startHandOff(s node.HandOffRequest) node.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
+	m := s.Message.(*message)
+	s.Message = nil // the attempt may outlive the need for it
 	a := &attempt{w: w, req: s, cancel: cancel}
-	w.running.Go(func() { a.run(ctx) })
+	m.memory.hold()
+	w.running.Go(func() { a.run(ctx, m) })
 	return a
 }
 
 // adopt continues a hand-off that another process made.
 func (w *workerPool) adopt(s node.HandOffRequest) node.Attempt {
+	s.Message = nil
 	return &attempt{w: w, req: s, cancel: func() {}, written: true, accepted: true}
 }
 
@@ -330,19 +331,27 @@
 	return a.written || a.ended
 }
 
-func (a *attempt) run(ctx context.Context) {
+func (a *attempt) run(ctx context.Context, m *message) {
 	defer a.cancel()
+	if conn := a.write(ctx, m); conn != nil {
+		a.readAnswer(conn)
+	}
+}
+
+// write writes the request to a connection, and returns it. If the hand-off ended before that, it returns nil.
+func (a *attempt) write(ctx context.Context, m *message) *workerConn {
+	defer m.memory.letGo()
 	conn, err := a.w.acquire(ctx, a.req.Addr)
 	if err != nil {
 		a.finish(dispatch.ConnectFailed, err)
-		return
+		return nil
 	}
 	a.mu.Lock()
 	if a.cancelled {
 		a.mu.Unlock()
 		a.w.putIdle(conn)
 		a.finish(dispatch.Cancelled, nil)
-		return
+		return nil
 	}
 	a.conn = conn
 	a.mu.Unlock()
@@ -352,29 +361,46 @@
 	if a.w.guard != nil && !a.w.guard.Allowed() {
 		a.release(conn, nil, true)
 		a.finish(dispatch.ConnectFailed, errNotAllowed)
-		return
+		return nil
 	}
 	// The client may have disconnected, or got its answer, while the connection was being opened. The
 	// cancellation that follows may not have arrived yet, or cancelling may be forbidden.
-	m := a.req.Message.(*message)
 	if !m.clientWaits() {
 		logDisconnected(a.req.ID, "unsent")
 		a.release(conn, nil, true)
 		a.finish(dispatch.Cancelled, nil)
-		return
+		return nil
 	}
-	text := m.encode(a.req.Addr, a.req.Timeout, a.req.Mark)
-	if n, err := conn.Write(text); n < len(text) {
+	if err := a.writeMessage(conn, m); err != nil {
 		a.release(conn, err, false)
 		a.finish(dispatch.ConnectFailed, err)
-		return
+		return nil
 	}
 	a.mu.Lock()
 	a.written = true
 	a.mu.Unlock()
 	a.w.metrics.HandOffSent()
+	return conn
+}
+
+// writeMessage writes the request for the worker. An error means that not all of it was written.
+func (a *attempt) writeMessage(conn net.Conn, m *message) error {
+	head, body := m.encode(a.req.Addr, a.req.Timeout, a.req.Mark)
+	for _, part := range [][]byte{head, body} {
+		if len(part) == 0 {
+			continue
+		}
+		if n, err := conn.Write(part); n < len(part) {
+			return err
+		}
+	}
+	return nil
+}
+
+// readAnswer reads the worker's answer to the request.
+func (a *attempt) readAnswer(conn *workerConn) {
 	var r fasthttp.Response
-	err = r.ReadLimitBody(conn.in, maxAnswer)
+	err := r.ReadLimitBody(conn.in, maxAnswer)
 	a.release(conn, err, !r.ConnectionClose())
 	status := r.StatusCode()
 	switch {
