--- a/cmd/weldmast/memory_test.go
+++ b/cmd/weldmast/memory_test.go
@@ -131,10 +131,11 @@
 			e := newMemoryEnv(t, memoryMB)
 			for _, f := range floods {
 				e.playFlood(f)
-				if peak := e.peakMemory(); peak > memoryMB<<10 && !raceEnabled() {
-					t.Fatalf("%s: peak memory %d KB", f.name, peak)
-				}
+				e.checkPeak(f.name)
 			}
+			e.resetPeak()
+			e.floodDatagrams(time.Second)
+			e.checkPeak("a peer's datagrams")
 		})
 	}
 }
@@ -237,6 +238,33 @@
 // peakMemory returns the highest resident memory of the program so far, in KB, with pages of files.
 func (e *testEnv) peakMemory() int { return statusKB(e.cmd.Process.Pid, "VmHWM:") }
 
+// resetPeak makes peakMemory begin anew.
+func (e *testEnv) resetPeak() {
+	e.must(os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", e.cmd.Process.Pid), []byte("5"), 0o600))
+}
+
+// checkPeak compares the peak with limits.memory_mb.
+func (e *testEnv) checkPeak(after string) {
+	e.t.Helper()
+	if peak := e.peakMemory(); peak > e.memoryMB<<10 && !raceEnabled() {
+		e.t.Errorf("%s: peak memory %d KB", after, peak)
+	}
+}
+
+// floodDatagrams sends datagrams of the peer at full speed.
+func (e *testEnv) floodDatagrams(duration time.Duration) {
+	to, err := net.ResolveUDPAddr("udp", e.peerAddr)
+	e.must(err)
+	data, sent := make([]byte, 256), 0
+	for end := time.Now().Add(duration); time.Now().Before(end); sent++ {
+		e.peer.WriteTo(data, to)
+	}
+	e.t.Logf("%d MB, %d datagrams: peak %d KB", e.memoryMB, sent, e.peakMemory())
+	if got := e.usualJob("usual-after-datagrams"); got != "200" {
+		e.t.Errorf("after %d datagrams a usual job got %s", sent, got)
+	}
+}
+
 // statusKB returns a figure of a process's status, in KB; 0 if the process has ended.
 func statusKB(pid int, figure string) (kb int) {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
@@ -247,7 +275,7 @@
 
 // playFlood plays a flood beside usual jobs.
 func (e *testEnv) playFlood(f flood) {
-	e.must(os.WriteFile(fmt.Sprintf("/proc/%d/clear_refs", e.cmd.Process.Pid), []byte("5"), 0o600)) // resets the peak
+	e.resetPeak()
 	const usualJobs, interval = 30, 50 * time.Millisecond
 	var conns []net.Conn
 	var clients sync.WaitGroup
