--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"hash/crc32"
 	"io"
 	"log"
 	"net"
@@ -353,17 +354,21 @@
 
 // job is a request that a worker received.
 type job struct {
-	id  string
-	out http.ResponseWriter
+	id   string
+	body string // its length and checksum, as bodySum returns them
+	out  http.ResponseWriter
 }
 
+// bodySum returns the length and the checksum of a body.
+func bodySum(body []byte) string { return fmt.Sprintf("%d %08x", len(body), crc32.ChecksumIEEE(body)) }
+
 // startWorker starts a worker that records its requests and answers by the script; without a script it
 // accepts all jobs.
 func (e *testEnv) startWorker(name string, script func(j job)) string {
 	l := e.listenPort()
 	s := &http.Server{Handler: http.HandlerFunc(func(out http.ResponseWriter, r *http.Request) {
-		io.Copy(io.Discard, r.Body)
-		j := job{id: r.Header.Get("X-Request-Id"), out: out}
+		body, _ := io.ReadAll(r.Body)
+		j := job{id: r.Header.Get("X-Request-Id"), body: bodySum(body), out: out}
 		if r.Method == "DELETE" {
 			e.record("%s: DELETE %s", name, r.RequestURI)
 			return
--- a/internal/takeover/exchange.go
+++ b/internal/takeover/exchange.go
@@ -325,7 +325,7 @@
 
 // readMessages handles the messages of the other process until the link ends.
 func (x *Exchange) readMessages(l *link, fromSuccessor bool) {
-	buf, state := make([]byte, maxPacket), []byte(nil)
+	buf, state, job := make([]byte, maxPacket), []byte(nil), []byte(nil)
 	for {
 		kind, payload, files, err := l.receive(buf)
 		if err != nil {
@@ -354,12 +354,17 @@
 					x.host.AdoptConn(conn)
 				}
 			}
+		case msgJobPart:
+			if job = append(job, payload...); len(job) > maxJobSize {
+				l.conn.Close()
+			}
 		case msgJob:
 			if len(files) == 1 {
 				if conn, err := net.FileConn(files[0]); err == nil {
-					x.host.AdoptJob(conn, append([]byte(nil), payload...))
+					x.host.AdoptJob(conn, append(job, payload...))
 				}
 			}
+			job = nil
 		case msgCallback:
 			if len(payload) < 8 {
 				break
@@ -399,10 +404,10 @@
 	switch {
 	case l == nil:
 		return errors.New("no successor is connected")
-	case len(job) >= maxPacket:
-		return errors.New("the job is too large for one message")
+	case len(job) > maxJobSize:
+		return errors.New("the job is too large")
 	}
-	return l.sendSockets(msgJob, job, c)
+	return l.sendJob(job, c)
 }
 
 // HasPredecessor reports whether a predecessor is connected, or was until at most callbackTimeout ago. The
--- a/internal/takeover/link.go
+++ b/internal/takeover/link.go
@@ -26,7 +26,8 @@
 	msgStateEnd       = 'y' // all of the state has been sent
 	msgConn           = 'c' // comes with an idle client connection
 	msgHasSuccessor   = 'f' // payload: "true" or "false", whether the sender has a successor
-	msgJob            = 'j' // payload: a job; comes with its client's connection
+	msgJobPart        = 'b' // payload: the next part of a job that is too large for one message
+	msgJob            = 'j' // payload: a job, or the last part of one; comes with its client's connection
 	msgCallback       = 'a' // payload: an 8-byte ID and a callback
 	msgCallbackResult = 'k' // payload: an 8-byte ID and a CallbackResult
 )
@@ -36,6 +37,8 @@
 	callbackTimeout = time.Second // without a result within this time, a forwarded callback ends with ResultUnknown
 	maxPacket       = 128 << 10
 	maxStateChunk   = 32 << 10
+	maxJobPart      = 96 << 10
+	maxJobSize      = 512 << 10
 	maxStateSize    = 16 << 20
 	maxSockets      = 8
 )
@@ -60,6 +63,7 @@
 type link struct {
 	conn    *net.UnixConn
 	writeMu sync.Mutex
+	jobMu   sync.Mutex // held while the parts of a job are sent
 	mu      sync.Mutex
 	lastID  uint64
 	calls   map[uint64]func(CallbackResult) // callbacks awaiting a result, by ID; nil once the link has ended
@@ -173,6 +177,20 @@
 	return l.send(msgStateEnd, nil)
 }
 
+// sendJob sends a job with its client's connection, in parts if it is too large for one message.
+func (l *link) sendJob(job []byte, client syscall.Conn) error {
+	l.jobMu.Lock()
+	defer l.jobMu.Unlock()
+	for len(job) >= maxPacket {
+		if err := l.send(msgJobPart, job[:maxJobPart]); err != nil {
+			l.conn.Close() // the other process must not take the next job for the rest of this one
+			return err
+		}
+		job = job[maxJobPart:]
+	}
+	return l.sendSockets(msgJob, job, client)
+}
+
 // forwardCallback forwards a callback to the other process; it calls reply once.
 func (l *link) forwardCallback(callback []byte, reply func(CallbackResult)) {
 	l.mu.Lock()
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -282,6 +282,16 @@
 	c.started = true
 }
 
+// markBegun records that the first bytes of a request are in the read buffer, also if they came with the request
+// before. The connection is not closed for being idle then. It returns false if it is closed already.
+func (c *clientConn) markBegun() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.markStarted()
+	c.closing, c.offered = false, false
+	return !c.forceClosed
+}
+
 // recordRead records a read and extends the deadline for the rest of the request: a slow client is not a
 // silent one. The lock is held.
 func (c *clientConn) recordRead() {
--- a/internal/transport/connections_test.go
+++ b/internal/transport/connections_test.go
@@ -41,3 +41,20 @@
 		}
 	}
 }
+
+// TestBufferedRequestKept: a request whose first bytes were read with the one before counts as begun: the
+// connection is not closed, nor given away, for having none.
+func TestBufferedRequestKept(t *testing.T) {
+	for _, begun := range []bool{true, false} {
+		cc, _ := connPair(t)
+		cc.markServing()
+		cc.markIdle()
+		if begun && !cc.markBegun() {
+			t.Error("a connection that nobody closed has no request")
+		}
+		cc.offer()
+		if idle := cc.closeIfIdle(true); idle == begun || cc.closing == begun || cc.offered == begun {
+			t.Errorf("request begun %v: reported idle %v, closing %v, offered %v", begun, idle, cc.closing, cc.offered)
+		}
+	}
+}
--- a/internal/transport/jobs.go
+++ b/internal/transport/jobs.go
@@ -62,6 +62,9 @@
 // finishJob hands a job over, or sets the response for its reply. It reports whether the job was handed over.
 func (s *session) finishJob(job *node.Request, m *message, r node.Reply) (handedOver bool) {
 	c := s.server
+	if r.Result == node.HandedOver {
+		s.unreadBuffer()
+	}
 	if r.Result == node.HandedOver && c.handOver(s.conn, r.Job, m) {
 		c.metrics.ClientLeft()
 		return true
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -55,7 +55,7 @@
 		s.releaseBuffer(false)
 	}
 	s.acquireBuffer()
-	if _, err := s.in.Peek(1); err != nil {
+	if _, err := s.in.Peek(1); err != nil || !s.conn.markBegun() {
 		return false
 	}
 	if s.conn.used {
@@ -182,15 +182,23 @@
 	if !s.server.reserveRequest(maxHead) {
 		return false
 	}
-	head, _ := s.in.Peek(s.in.Buffered())
-	s.conn.unread(head)
-	s.releaseBuffer(true)
+	s.unreadBuffer()
 	s.in, s.large = largeReaders.Get().(*bufio.Reader), true
 	s.in.Reset(s.conn)
 	s.conn.markArriving()
 	return true
 }
 
+// unreadBuffer moves what is in the read buffer back to the connection. This guards against a connection that
+// goes to another process without the first bytes of its next request, which would be read from its middle.
+func (s *session) unreadBuffer() {
+	if s.in != nil {
+		ahead, _ := s.in.Peek(s.in.Buffered())
+		s.conn.unread(ahead)
+		s.releaseBuffer(true)
+	}
+}
+
 // releaseBuffer gives the read buffer back if it is empty, or if what it holds is dropped.
 func (s *session) releaseBuffer(drop bool) {
 	if s.in == nil || !drop && s.in.Buffered() > 0 {
