A hand-off that was called off stays at its worker until its DELETE is answered

Change: where second copies are forbidden, the DELETE is sent again on a new connection until it is answered or the work item expires, after 0.1 s at first, then up to 1 s. Adopted hand-offs have their expiry for that. Where copies are allowed it is sent once, as before.

Why it works: the hand-off counts as out until the worker has said that it knows of the DELETE, a callback ends it, or the client's time is up.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -906,7 +906,8 @@
 		h := handOff{worker: t.Worker, sentAt: t.Sent, ended: t.Done, noCallback: t.Never, provenUnrun: t.Unrun, startedAt: t.Started, addr: t.Addr}
 		if !h.ended {
 			it.outstanding++
-			h.attempt = n.transport.AdoptHandOff(HandOffRequest{WI: it.wi, HO: k, ID: req.ID, Addr: t.Addr, Message: req.Message})
+			h.attempt = n.transport.AdoptHandOff(HandOffRequest{WI: it.wi, HO: k, ID: req.ID, Addr: t.Addr, Message: req.Message,
+				Timeout: max(req.Expiry-n.now, 0)})
 			n.schedule(req.Expiry, it.wi, k)
 		}
 		it.handOffs = append(it.handOffs, h)
--- a/internal/transport/races_test.go
+++ b/internal/transport/races_test.go
@@ -940,6 +940,68 @@
 	}
 }
 
+// TestUnansweredDelete: where second copies are forbidden, a cancelled hand-off ends only when its DELETE is
+// answered: a connection that was dropped unseen, or that does not come up, proves nothing. The DELETE is sent
+// again on a new connection until then, or until the work item expires. Where second copies are allowed, it is
+// sent once.
+func TestUnansweredDelete(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		secondCopies bool
+		answered     bool
+		timeout      float64 // of the hand-off, in ms
+		least, most  time.Duration
+	}{
+		{"answered the second time", false, true, 5000, deleteTimeout, deleteTimeout + time.Second},
+		{"never answered", false, false, 2500, 2 * deleteTimeout, 2500*time.Millisecond + deleteTimeout},
+		{"copies are allowed", true, false, 5000, 0, deleteTimeout + deleteRetry},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			deletes := make(chan int, 16)
+			go func() {
+				for k := 1; ; k++ {
+					conn, err := l.Accept()
+					if err != nil {
+						return
+					}
+					defer conn.Close()
+					go func() {
+						q, err := http.ReadRequest(bufio.NewReader(conn))
+						if err != nil || q.Method != "DELETE" {
+							return
+						}
+						deletes <- k
+						if c.answered && k > 1 {
+							io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+						}
+					}()
+				}
+			}()
+			o, no := options()
+			o.SecondCopies = c.secondCopies
+			ended := make(chan bool)
+			ws := newWorkers(node.New(no), o)
+			ws.setLimit(10)
+			a := ws.adopt(node.HandOffRequest{ID: "a", Addr: l.Addr().String(), Timeout: c.timeout}).(*attempt)
+			begun := time.Now()
+			go func() {
+				a.sendDelete()
+				close(ended)
+			}()
+			await(t, "the end of the hand-off", ended)
+			if took := time.Since(begun); took < c.least || took > c.most || c.secondCopies != (len(deletes) == 1) {
+				t.Errorf("ended after %v, wanted %v to %v; %d DELETEs", took, c.least, c.most, len(deletes))
+			}
+		})
+	}
+}
+
 // TestQueuedConnectionReset: a client whose connection is still in the listener's accept queue at the end is
 // reset, so that it can retry elsewhere, and is not left waiting.
 func TestQueuedConnectionReset(t *testing.T) {
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -28,8 +28,9 @@
 
 const (
 	maxAnswer        = 64 << 10
-	deleteTimeout    = time.Second // time to wait for a worker's answer to a cancellation
-	maxIdlePerWorker = 16          // idle connections kept per worker
+	deleteTimeout    = time.Second            // time to wait for a worker's answer to a cancellation
+	deleteRetry      = 100 * time.Millisecond // before the first repetition; doubles up to deleteTimeout
+	maxIdlePerWorker = 16                     // idle connections kept per worker
 	// A connection is reused only once nothing has arrived on it for this long. This guards against a second
 	// answer to the previous request, some milliseconds late, that would be taken for the answer to the next
 	// one: work that runs could count as never run.
@@ -144,6 +145,21 @@
 		}
 		w.discard(c)
 	}
+	w.mu.Unlock()
+	conn, err := w.connect(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	// The worker is alive. One that died closes all its connections, however long they were idle.
+	if closedAfter < w.maxIdle {
+		w.limitIdleTime(closedAfter / 4) // it was closed some time before that was noticed
+	}
+	return conn, nil
+}
+
+// connect opens a new connection.
+func (w *workerPool) connect(ctx context.Context, addr string) (*workerConn, error) {
+	w.mu.Lock()
 	if w.open >= w.maxConns && !w.evictIdle() {
 		w.mu.Unlock()
 		return nil, errTooMany
@@ -156,10 +172,6 @@
 		w.onConnError(err)
 		return nil, err
 	}
-	// The worker is alive. One that died closes all its connections, however long they were idle.
-	if closedAfter < w.maxIdle {
-		w.limitIdleTime(closedAfter / 4) // it was closed some time before that was noticed
-	}
 	return &workerConn{Conn: conn, addr: addr, in: bufio.NewReader(conn)}, nil
 }
 
@@ -299,13 +311,14 @@
 	accepted  bool
 	ended     bool // its HandOffEnded was enqueued
 	cancelled bool
+	endsBy    time.Time // the work item is given up by then
 }
 
 func (w *workerPool) startHandOff(s node.HandOffRequest) node.Attempt {
 	ctx, cancel := context.WithCancel(context.Background())
 	m := s.Message.(*message)
 	s.Message = nil // the attempt may outlive the need for it
-	a := &attempt{w: w, req: s, cancel: cancel}
+	a := &attempt{w: w, req: s, cancel: cancel, endsBy: endOf(s)}
 	m.memory.hold()
 	w.running.Go(func() { a.run(ctx, m) })
 	return a
@@ -314,7 +327,12 @@
 // adopt continues a hand-off that another process made.
 func (w *workerPool) adopt(s node.HandOffRequest) node.Attempt {
 	s.Message = nil
-	return &attempt{w: w, req: s, cancel: func() {}, written: true, accepted: true}
+	return &attempt{w: w, req: s, cancel: func() {}, written: true, accepted: true, endsBy: endOf(s)}
+}
+
+// endOf returns the time by which a hand-off that begins now is given up.
+func endOf(s node.HandOffRequest) time.Time {
+	return time.Now().Add(time.Duration(s.Timeout * float64(time.Millisecond)))
 }
 
 // Accepted reports whether the worker has accepted the work item.
@@ -483,32 +501,45 @@
 	}
 }
 
-// sendDelete makes the worker drop the work item. The hand-off counts as cancelled once the DELETE is
-// written, or cannot be written. Where second copies are forbidden, it counts once the DELETE is answered:
-// otherwise the next hand-off could overtake it.
+// sendDelete makes the worker drop the work item. Where second copies are allowed, the hand-off counts as
+// cancelled once the DELETE is written, or cannot be written. Elsewhere it counts once the DELETE is answered:
+// until then it is sent again, on new connections, for as long as the worker may take to do the work. This
+// guards against connections that were dropped unseen: the worker would still have the work item when it goes
+// to another one.
 func (a *attempt) sendDelete() {
-	queue := func() { a.w.node.Enqueue(node.HandOffEnded{WI: a.req.WI, HO: a.req.HO, Outcome: dispatch.Cancelled}) }
-	conn, err := a.w.acquire(context.Background(), a.req.Addr)
-	if err != nil {
-		queue()
+	ended := func() { a.w.node.Enqueue(node.HandOffEnded{WI: a.req.WI, HO: a.req.HO, Outcome: dispatch.Cancelled}) }
+	if a.w.secondCopies {
+		a.deleteOnce(a.w.acquire, ended)
 		return
 	}
+	acquire, pause := a.w.acquire, deleteRetry
+	for a.deleteOnce(acquire, func() {}) != nil && time.Now().Add(pause).Before(a.endsBy) {
+		time.Sleep(pause)
+		acquire, pause = a.w.connect, min(2*pause, deleteTimeout)
+	}
+	ended()
+}
+
+// deleteOnce sends a DELETE and waits for its answer. It calls written once the DELETE is written or cannot be
+// written. An error means that there was no answer.
+func (a *attempt) deleteOnce(acquire func(context.Context, string) (*workerConn, error), written func()) error {
+	conn, err := acquire(context.Background(), a.req.Addr)
+	if err != nil {
+		written()
+		return err
+	}
 	conn.SetDeadline(time.Now().Add(deleteTimeout))
 	_, err = conn.Write([]byte("DELETE /jobs/" + url.PathEscape(a.req.ID) + " HTTP/1.1\r\nHost: " + a.req.Addr +
 		"\r\nContent-Length: 0\r\n\r\n"))
-	if a.w.secondCopies {
-		queue()
-	}
+	written()
 	var r fasthttp.Response
 	if err == nil {
 		err = r.ReadLimitBody(conn.in, maxAnswer)
 	}
-	if !a.w.secondCopies {
-		queue()
-	}
 	if err != nil || r.ConnectionClose() {
 		a.w.discard(conn)
-		return
+		return err
 	}
 	a.w.putIdle(conn)
+	return nil
 }
