A job that is taken over is not sent to a worker that may still run it

Cause: Adopt left mayStillRun out for hand-offs that had ended at the older process without proof, as by a reset: after a replacement such a job could go to the same worker again, which is a break also where copies are allowed.

Change: a job's hand-offs say whether the worker may still run them (MayStillRun; an older process does not say it, which is as before).

Tests: TestAdoptedMayStillRun and TestHandedOverMayStillRun; without the change nothing of it is told or kept (the field is new).

--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -224,6 +224,8 @@
 	Started float64 // 0: not known to have started.
 	Done    bool
 	Unrun   bool // It is known not to have run.
+	// It has ended there, but the worker may still run it: the worker gets none of the work item again.
+	MayStillRun bool
 }
 
 // Adopt takes over a work item with its hand-offs, in the order in which they were made. Outstanding ones
@@ -245,7 +247,7 @@
 			w = &worker{Entry: Entry{Worker: t.Worker, Kind: len(d.kinds) - 1, State: Gone}, minStartGap: math.Inf(1)}
 		}
 		h := handoff{worker: w, sentAt: t.Sent, lastNoticeAt: d.now, startedAt: -1, load: d.knownLoad(w) + 1, peerView: d.peerView, done: t.Done,
-			provenNotRun: t.Unrun}
+			provenNotRun: t.Unrun, mayStillRun: t.MayStillRun}
 		if !h.provenNotRun {
 			it.mayHaveRun++
 		}
--- a/internal/dispatch/learned_test.go
+++ b/internal/dispatch/learned_test.go
@@ -100,6 +100,26 @@
 	golden.Check(t, "succeeded", tr.log.String()+adopter.log.String())
 }
 
+// TestAdoptedMayStillRun: a work item that was taken over is not sent to a worker that may still run an earlier
+// hand-off of it, as one does whose connection broke.
+func TestAdoptedMayStillRun(t *testing.T) {
+	for _, mayStillRun := range []bool{true, false} {
+		tr := newTrace(t, baseSettings())
+		tr.listUp("f1", "f2")
+		at := tr.now
+		taken := []Taken{{Worker: "f1", Sent: at - 500, Done: true, MayStillRun: mayStillRun}, {Worker: "f2", Sent: at - 400, Started: at - 390}}
+		tr.at(at+5, func(d *Dispatcher) {
+			d.Adopt(WorkItem{ID: 1, Category: 0, Tenant: -1, TimeLeft: 9000, Hint: 100}, taken)
+		})
+		tr.at(at+4000, func(*Dispatcher) {})
+		tr.at(at+4010, func(d *Dispatcher) { tr.end(1, 1, Cancelled) })
+		tr.at(at+4100, func(*Dispatcher) {})
+		if sent := tr.handOffs["f1"] > 0; sent == mayStillRun || tr.handOffs["f2"] > 0 {
+			t.Errorf("may still run %v: sent %v", mayStillRun, tr.handOffs)
+		}
+	}
+}
+
 // TestLearnedConcurrency: a worker that starts all work at once is found to take up to MaxConcurrency items,
 // and one that starts fewer at once no more than those. A process that imports limits with fewer or more
 // entries takes over as much as it has room for.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -315,6 +315,7 @@
 	ended       bool
 	noCallback  bool    // it did not reach the worker, or was rejected on its connection: no callback will come
 	provenUnrun bool    // it is proven not to have run
+	mayStillRun bool    // it has ended here, but the worker may still run it
 	startedAt   float64 // 0: no start has been reported
 	addr        string
 }
@@ -821,7 +822,7 @@
 		return
 	}
 	h := &it.handOffs[ho]
-	h.ended, h.provenUnrun = true, o.ProvesNotRun()
+	h.ended, h.provenUnrun, h.mayStillRun = true, o.ProvesNotRun(), o.MayStillRun()
 	it.outstanding--
 	if o == dispatch.Finished {
 		n.answer(it, Reply{Body: result})
@@ -882,7 +883,7 @@
 		j := &Job{ID: req.ID, Category: req.Category, Tenant: req.Tenant, Hint: req.Hint, Key: req.Key, Expiry: req.Expiry}
 		for _, h := range it.handOffs {
 			j.HandOffs = append(j.HandOffs, JobHandOff{Addr: h.addr, Never: h.noCallback, Taken: dispatch.Taken{Worker: h.worker,
-				Sent: h.sentAt, Started: h.startedAt, Done: h.ended, Unrun: h.provenUnrun}})
+				Sent: h.sentAt, Started: h.startedAt, Done: h.ended, Unrun: h.provenUnrun, MayStillRun: h.mayStillRun}})
 		}
 		n.log.Info("takeover", "takeover", "job handed over", "id", req.ID, "out", it.outstanding)
 		it.handedOver = true
@@ -903,7 +904,7 @@
 	n.open++
 	n.schedule(it.deadline()+n.settings.AnswerSlack, it.wi, -1)
 	for k, t := range j.HandOffs {
-		h := handOff{worker: t.Worker, sentAt: t.Sent, ended: t.Done, noCallback: t.Never, provenUnrun: t.Unrun, startedAt: t.Started, addr: t.Addr}
+		h := handOff{worker: t.Worker, sentAt: t.Sent, ended: t.Done, noCallback: t.Never, provenUnrun: t.Unrun, mayStillRun: t.MayStillRun, startedAt: t.Started, addr: t.Addr}
 		if !h.ended {
 			it.outstanding++
 			h.attempt = n.transport.AdoptHandOff(HandOffRequest{WI: it.wi, HO: k, ID: req.ID, Addr: t.Addr, Message: req.Message,
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -189,3 +189,19 @@
 		}
 	}
 }
+
+// TestHandedOverMayStillRun: the newer process is told which workers may still run a job that it takes over,
+// although their hand-offs have ended.
+func TestHandedOverMayStillRun(t *testing.T) {
+	for outcome, want := range map[dispatch.Outcome]bool{dispatch.ConnReset: true, dispatch.Cancelled: true, dispatch.Failed: false, dispatch.Full: false} {
+		n := New(Options{})
+		var job *Job
+		it := &workItem{wi: 1, request: &Request{ID: "a", Respond: func(r Reply) { job = r.Job }}, handOffs: []handOff{{worker: "w1"}}, outstanding: 1}
+		n.items[1], n.byID["a"] = it, it
+		n.handOffEnded(it, 0, outcome, "")
+		n.handOverJobs()
+		if job == nil || len(job.HandOffs) != 1 || job.HandOffs[0].MayStillRun != want {
+			t.Errorf("outcome %v: handed over %+v", outcome, job)
+		}
+	}
+}
