--- a/internal/transport/races_test.go
+++ b/internal/transport/races_test.go
@@ -1002,6 +1002,29 @@
 	}
 }
 
+// TestAnswerNotHeldBack: an answer leaves when it is ready, although the client has sent its next request ahead
+// and that one is still being served.
+func TestAnswerNotHeldBack(t *testing.T) {
+	w := newTestWorker(t)
+	r := newFixture(t, nil)
+	r.serve(w.addr)
+	c := r.dial()
+	io.WriteString(c, jobRequest("first", "plan")+jobRequest("second", "plan"))
+	await(t, "the first", w.requests).respond(acceptedResponse)
+	r.finish("first")
+	second := await(t, "the second", w.requests)
+	c.SetReadDeadline(time.Now().Add(testTimeout))
+	in := bufio.NewReader(c)
+	if a, err := http.ReadResponse(in, nil); err != nil || a.StatusCode != 200 {
+		t.Fatalf("the first, while the second is served: %v %v", a, err)
+	}
+	second.respond(acceptedResponse)
+	r.finish("second")
+	if a, err := http.ReadResponse(in, nil); err != nil || a.StatusCode != 200 {
+		t.Errorf("the second: %v %v", a, err)
+	}
+}
+
 // TestQueuedConnectionReset: a client whose connection is still in the listener's accept queue at the end is
 // reset, so that it can retry elsewhere, and is not left waiting.
 func TestQueuedConnectionReset(t *testing.T) {
