--- a/internal/consensus/disk_store.go
+++ b/internal/consensus/disk_store.go
@@ -80,7 +80,8 @@
 // DirName is the name of the voter's directory within its member's directory.
 const DirName = "voter"
 
-// OpenDiskStore opens the directory of the named voter. Fresh means that no voter ever used it. A corrupt
+// OpenDiskStore opens the directory of the named voter. Fresh means that no voter ever used it; starts of other
+// voters may be recorded in it. A corrupt
 // directory is an error.
 func OpenDiskStore(dir, voter string) (d *DiskStore, persisted PersistedState, starts uint64, fresh bool, err error) {
 	dir = filepath.Join(dir, DirName)
@@ -123,7 +124,7 @@
 type replay struct {
 	state      *dirState
 	pending    *dirState // between recBegin and recEnd
-	hasRecords bool
+	hasRecords bool // of a voter's own state; starts of other voters may come before it
 	complete   bool
 }
 
@@ -131,8 +132,8 @@
 	if len(rec.Content) == 0 {
 		return fmt.Errorf("%w: an empty record", ErrCorrupt)
 	}
-	r.hasRecords = true
 	kind, b := rec.Content[0], rec.Content[1:]
+	r.hasRecords = r.hasRecords || kind != recPeer && kind != recSeal
 	switch kind {
 	case recBegin:
 		s := emptyDirState()
@@ -148,10 +149,10 @@
 	}
 	s := r.pending
 	if s == nil {
-		if !r.complete { // its recBegin was dropped; a complete state follows
+		if !r.complete && kind != recPeer { // its recBegin was dropped; a complete state follows
 			return nil
 		}
-		s = r.state
+		s = r.state // of a fresh directory, if it is not complete
 	}
 	return s.applyRecord(kind, b)
 }
@@ -286,10 +287,12 @@
 	return d.write(next, append(records, []byte{recEnd})...)
 }
 
-// Init initializes a fresh directory.
+// Init initializes a fresh directory. It keeps the starts of other voters that were recorded before: at a
+// fleet's first start the others tell of theirs while this voter still waits for their replies, and tell nobody
+// again.
 func (d *DiskStore) Init(voter string, initial PersistedState) error {
 	next := emptyDirState()
-	next.voter, next.PersistedState = voter, initial
+	next.voter, next.PersistedState, next.peerStarts = voter, initial, maps.Clone(d.peerStarts)
 	return d.writeAll(next)
 }
 
--- a/internal/consensus/disk_store_test.go
+++ b/internal/consensus/disk_store_test.go
@@ -57,6 +57,40 @@
 	}
 }
 
+// TestPeerStartsBeforeInit: starts of other voters that were recorded in a fresh directory are kept when it is
+// initialized, also by a process that starts again before that. Otherwise a voter that lost its folder would be
+// known to nobody.
+func TestPeerStartsBeforeInit(t *testing.T) {
+	for _, restarts := range []bool{false, true} {
+		dir := t.TempDir()
+		d, _, _, _, err := OpenDiskStore(dir, "v")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := d.RecordPeerStart("w", 1, "run"); err != nil {
+			t.Fatal(err)
+		}
+		if restarts {
+			d.Close()
+			var fresh bool
+			if d, _, _, fresh, err = OpenDiskStore(dir, "v"); err != nil || !fresh {
+				t.Fatalf("opened again before it is initialized: fresh %v, %v", fresh, err)
+			}
+		}
+		if err := errors.Join(d.Init("v", InitialState("f", []fleet.Voter{{Name: "v", Address: "a", RaftID: 9}})), d.RecordStart(1), d.Close()); err != nil {
+			t.Fatal(err)
+		}
+		d, _, _, fresh, err := OpenDiskStore(dir, "v")
+		if err != nil || fresh {
+			t.Fatal(fresh, err)
+		}
+		if known, err := d.RecordPeerStart("w", 0, "empty"); err != nil || known != 1 {
+			t.Errorf("restarts %v: %d starts known, %v", restarts, known, err)
+		}
+		d.Close()
+	}
+}
+
 // TestDiskStoreCompaction covers a compacted directory, a start after it, and a snapshot larger than one
 // record.
 func TestDiskStoreCompaction(t *testing.T) {
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"net"
+	"slices"
 	"testing"
 	"time"
 
@@ -75,3 +77,102 @@
 		t.Errorf("a single entry arrived only after %v", took)
 	}
 }
+
+// testVoter is one voter of a fleet on sockets.
+type testVoter struct {
+	node   *Node
+	server *fleetrpc.Server
+}
+
+func startVoter(t *testing.T, name string, voters []fleet.Voter, dir string) testVoter {
+	t.Helper()
+	var addr string
+	for _, v := range voters {
+		if v.Name == name {
+			addr = v.Address
+		}
+	}
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	began := time.Now()
+	now := func() float64 { return float64(time.Since(began))/1e6 + 1000 }
+	n, err := Start(Options{Fleet: "f", Name: name, Address: addr, Voters: slices.Clone(voters), Dir: dir, Timing: timing,
+		RunID: fmt.Sprint(name, began.UnixNano()), Seed: uint64(began.UnixNano()), Clock: now, UnixTime: now})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return testVoter{n, fleetrpc.Serve(l, "f", 64, n, nil)}
+}
+
+func (v testVoter) stop() {
+	v.node.Close()
+	v.server.Close()
+}
+
+// awaitStatus waits until a voter has one of the statuses.
+func (v testVoter) awaitStatus(t *testing.T, any ...string) string {
+	t.Helper()
+	status := ""
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if status, _ = v.node.Status(); slices.Contains(any, status) {
+			return status
+		}
+	}
+	t.Fatalf("the status is %q, wanted one of %q", status, any)
+	return ""
+}
+
+// TestLostFolderAtFirstStart guards against a voter that lost its folder and votes as the one it was: the other
+// voters remember it from the first start of the fleet on, whichever of them was started last.
+func TestLostFolderAtFirstStart(t *testing.T) {
+	for _, count := range []int{3, 5} {
+		for lost := range count {
+			t.Run(fmt.Sprint(count, " voters, loses ", lost), func(t *testing.T) {
+				t.Parallel()
+				var voters []fleet.Voter
+				var dirs []string
+				for k := range count {
+					l, err := net.Listen("tcp", "127.0.0.1:0")
+					if err != nil {
+						t.Fatal(err)
+					}
+					defer l.Close()
+					voters = append(voters, fleet.Voter{Name: fmt.Sprint("v", k), Address: l.Addr().String()})
+					dirs = append(dirs, t.TempDir())
+					l.Close()
+				}
+				all := make([]testVoter, count)
+				for k := range count {
+					all[k] = startVoter(t, voters[k].Name, voters, dirs[k])
+					if k == count-2 {
+						time.Sleep(300 * time.Millisecond) // the others wait for the last one's reply
+					}
+				}
+				for _, v := range all {
+					v.awaitStatus(t, "leads", "follows a leader")
+				}
+				for _, v := range all {
+					v.stop()
+				}
+				dirs[lost] = t.TempDir()
+				for k := range count {
+					all[k] = startVoter(t, voters[k].Name, voters, dirs[k])
+					defer all[k].stop()
+				}
+				const asks = "lost its folder: asks for a new seat"
+				for k, v := range all {
+					want := []string{"leads", "follows a leader"}
+					if k == lost {
+						want = []string{asks, "votes, no leader", "leads", "follows a leader"}
+					}
+					status := v.awaitStatus(t, want...)
+					if _, raftID := v.node.Status(); k == lost && raftID == 0 {
+						t.Errorf("a voter that lost its folder has the status %q and asks for no seat", status)
+					}
+				}
+			})
+		}
+	}
+}
