Names of the memory bound: retain and release, ContentDropped, sizes with their unit; gofmt

hold and letGo are retain and release, as of any reference count; NotKept is ContentDropped; smallRequest, usualHead and largeHead say their unit; beyondSmall is excessBytes. An unused method goes. disk_store.go was not gofmt'd. No behaviour changes; tests of transport, node and consensus pass.

--- a/internal/consensus/disk_store.go
+++ b/internal/consensus/disk_store.go
@@ -124,7 +124,7 @@
 type replay struct {
 	state      *dirState
 	pending    *dirState // between recBegin and recEnd
-	hasRecords bool // of a voter's own state; starts of other voters may come before it
+	hasRecords bool      // of a voter's own state; starts of other voters may come before it
 	complete   bool
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -137,12 +137,13 @@
 	Category int
 	Tenant   int
 	Hint     float64
-	Key      string      // key of the data that the work item needs; empty: none
-	Expiry   float64     // time on the clock of Now
-	Message  any         // set to nil by the event loop once the client has its answer
-	NotKept  bool        // the transport had no memory for its content: it can only be deferred
-	Respond  func(Reply) // called once, by the event loop; must not block
-	item     *workItem   // owned by the event loop
+	Key      string  // key of the data that the work item needs; empty: none
+	Expiry   float64 // time on the clock of Now
+	Message  any     // set to nil by the event loop once the client has its answer
+	// The transport had no memory for its content, so that it can only be deferred.
+	ContentDropped bool
+	Respond        func(Reply) // called once, by the event loop; must not block
+	item           *workItem   // owned by the event loop
 }
 
 // Result is the outcome that a client receives.
@@ -756,7 +757,7 @@
 		return
 	// No memory is left for its content, the configured limit is reached, or no descriptor is left for another
 	// waiting client.
-	case req.NotKept, n.open >= min(n.maxOpen, n.clientLimit):
+	case req.ContentDropped, n.open >= min(n.maxOpen, n.clientLimit):
 		r := Reply{Result: Deferred}
 		if n.settings.MayAdviseRetryAfter {
 			r.RetryAfter = min(overloadRetryAfter, n.settings.MaxRetryAfter)
--- a/internal/transport/callbacks.go
+++ b/internal/transport/callbacks.go
@@ -17,7 +17,7 @@
 // serveCallback answers 200 once the node has the callback, even if nobody waits for it any more: otherwise
 // the worker would only repeat it.
 func (s *session) serveCallback(h requestHead) {
-	bytes := beyondSmall(callbackCopies * bodyBytes(h.bodyLength))
+	bytes := excessBytes(callbackCopies * bodyBytes(h.bodyLength))
 	if !s.server.awaitAnswerMemory(bytes) {
 		s.refuseCallback(h)
 		return
@@ -35,7 +35,7 @@
 		return
 	}
 	s.conn.markProven()
-	s.applyCallback(callback, len(body) > smallRequest)
+	s.applyCallback(callback, len(body) > smallRequestBytes)
 }
 
 // refuseCallback responds to a callback for which there is no memory. Its worker sends it again.
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -20,7 +20,7 @@
 const (
 	maxBody           = 64 << 10
 	maxHead           = 16 << 10
-	usualHead         = 4 << 10 // a larger head is read only if there is memory for maxHead
+	usualHeadBytes    = 4 << 10 // a larger head is read only if there is memory for maxHead
 	maxIDLength       = 128
 	maxReasonLength   = 200
 	clientIdleTimeout = time.Minute
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -1,6 +1,6 @@
 // This file protects the listener. It owns the connections of clients and callbacks, and decides how many may
-// be open, which of them are evicted, and which request heads are invalid. It must never evict a connection
-// whose request is being served, nor look at what a request asks for.
+// be open and which of them are evicted. It must never evict a connection whose request is being served, nor
+// look at what a request asks for.
 
 package transport
 
@@ -184,7 +184,7 @@
 	answerSince      time.Time     // time when its writing began
 	pipelined        []byte        // bytes read beyond the request being served
 	pipelinedBytes   int64         // reserved for them
-	pipelineOverflow bool          // they exceeded maxPipelined
+	pipelineOverflow bool          // they exceeded maxPipelined, or there was no memory for them
 	watchDone        chan struct{} // closed when the watch has ended
 	watchStopping    atomic.Bool   // the watch is to end
 }
--- a/internal/transport/head.go
+++ b/internal/transport/head.go
@@ -81,7 +81,7 @@
 	timeLeft  float64 // time until its expiry once the body has arrived, in ms
 	message   *message
 	headBytes int          // bytes that are kept of the head
-	memory    *reservation // nil: there is none beyond smallRequest
+	memory    *reservation // nil: there is none beyond smallRequestBytes
 	kept      bool         // there is memory for the whole body
 	smallBody int          // if not, a body of up to so many bytes is kept
 }
@@ -122,9 +122,9 @@
 	}
 	h.kind, h.message = jobKind, &message{}
 	h.headBytes = forwardedSize(head) + len(h.job.Key)
-	budget, bytes := &s.server.memory.waiting, beyondSmall(h.headBytes+bodyBytes(h.bodyLength))
+	budget, bytes := &s.server.memory.waiting, excessBytes(h.headBytes+bodyBytes(h.bodyLength))
 	if h.kept = s.server.reserveRequest(bytes); !h.kept {
-		if h.smallBody = smallRequest - h.headBytes; h.smallBody < 0 {
+		if h.smallBody = smallRequestBytes - h.headBytes; h.smallBody < 0 {
 			return
 		}
 	} else if bytes > 0 {
@@ -290,12 +290,12 @@
 	return false
 }
 
-// largeHead is how many lines a parsed head may have whose buffers are used again.
-const largeHead = 64
+// largeHeadLines is how many lines a parsed head may have whose buffers are used again.
+const largeHeadLines = 64
 
 // releaseParsed makes the buffers of a parsed request available for others, unless they are large.
 func releaseParsed(r *fasthttp.Request) {
-	if bytes.Count(r.Header.RawHeaders(), []byte("\n")) <= largeHead {
+	if bytes.Count(r.Header.RawHeaders(), []byte("\n")) <= largeHeadLines {
 		fasthttp.ReleaseRequest(r)
 	}
 }
--- a/internal/transport/jobs.go
+++ b/internal/transport/jobs.go
@@ -36,7 +36,7 @@
 	} else {
 		m.setBody(body)
 	}
-	job.Message, job.NotKept, job.Expiry = m, noMemory, c.node.Now()+h.timeLeft
+	job.Message, job.ContentDropped, job.Expiry = m, noMemory, c.node.Now()+h.timeLeft
 	reply := conn.expectReply(job)
 	c.metrics.JobAccepted()
 	s.releaseBuffer(false)
@@ -88,7 +88,7 @@
 		s.conn.markArriving()
 	}
 	body, err := readBody(s.in, h.bodyLength)
-	h.memory.shrink(beyondSmall(h.headBytes + len(body)))
+	h.memory.shrink(excessBytes(h.headBytes + len(body)))
 	return body, err
 }
 
--- a/internal/transport/memory.go
+++ b/internal/transport/memory.go
@@ -1,6 +1,6 @@
 // This file bounds the memory that is kept for clients: how many connections there may be, and how many bytes
-// may be kept for requests, and for callbacks and answers. It must never
-// wait for a client, nor decide what becomes of a work item.
+// may be kept for requests, and for callbacks and answers. It must never wait for a client, nor decide what becomes of
+// a work item.
 
 package transport
 
@@ -19,14 +19,14 @@
 )
 
 const (
-	// Kept for each connection: its read and write buffers, the stacks of its goroutines, and smallRequest.
+	// Kept for each connection: its read and write buffers, the stacks of its goroutines, and smallRequestBytes.
 	connBytes = 18 << 10
 	// What is kept for a request or an answer up to this size is part of connBytes. This guards against large
 	// requests that take the memory of usual ones: a small request is never turned away for its size.
-	smallRequest    = 4 << 10
-	pipelinedCopies = 2 // the buffer for bytes sent ahead may have twice their size
-	callbackCopies  = 2 // while a callback is decoded, its body and its result are kept
-	chunkedCopies   = 2 // the buffer for a chunked body may have twice its size
+	smallRequestBytes = 4 << 10
+	pipelinedCopies   = 2 // the buffer for bytes sent ahead may have twice their size
+	callbackCopies    = 2 // while a callback is decoded, its body and its result are kept
+	chunkedCopies     = 2 // the buffer for a chunked body may have twice its size
 	// A client that has not sent its body, or read its answer, within this time is closed if the memory is
 	// needed.
 	slowClientGrace = 250 * time.Millisecond
@@ -57,9 +57,6 @@
 // release gives back reserved bytes.
 func (b *byteBudget) release(bytes int64) { b.used.Add(-max(bytes, 0)) }
 
-// exceeded reports whether more is reserved than the limit allows.
-func (b *byteBudget) exceeded() bool { return b.used.Load() > b.limit.Load() }
-
 // clientMemory holds the budgets for what is kept for clients.
 type clientMemory struct{ waiting, answers byteBudget }
 
@@ -81,10 +78,10 @@
 	return int64(share * float64(memory))
 }
 
-// beyondSmall returns how many of a request's bytes are not part of connBytes.
-func beyondSmall(bytes int) int64 { return int64(max(bytes-smallRequest, 0)) }
+// excessBytes returns how many of a request's bytes are not part of connBytes.
+func excessBytes(bytes int) int64 { return int64(max(bytes-smallRequestBytes, 0)) }
 
-// reservation is a part of a budget that belongs to several holders. It is released once all have let go.
+// reservation is a part of a budget with a reference count: it is given back once all holders have released it.
 type reservation struct {
 	budget  *byteBudget
 	bytes   int64
@@ -98,8 +95,8 @@
 	return r
 }
 
-// hold adds a holder. A nil reservation has no bytes.
-func (r *reservation) hold() {
+// retain adds a holder. A nil reservation has no bytes.
+func (r *reservation) retain() {
 	if r != nil {
 		r.holders.Add(1)
 	}
@@ -114,8 +111,8 @@
 	r.bytes = min(r.bytes, bytes)
 }
 
-// letGo removes a holder.
-func (r *reservation) letGo() {
+// release removes a holder, and gives the bytes back with the last one.
+func (r *reservation) release() {
 	if r != nil && r.holders.Add(-1) == 0 {
 		r.budget.release(r.bytes)
 	}
@@ -124,7 +121,7 @@
 // reserveAnswer reserves the memory of an answer that is about to be written. It is released when the answer
 // has been written or the connection is closed.
 func (c *clientConn) reserveAnswer(bytes int) {
-	kept := beyondSmall(bytes)
+	kept := excessBytes(bytes)
 	if kept == 0 {
 		return
 	}
--- a/internal/transport/memory_test.go
+++ b/internal/transport/memory_test.go
@@ -173,7 +173,7 @@
 	ws := newWorkers(node.New(no), o)
 	ws.setLimit(1)
 	a := ws.startHandOff(node.HandOffRequest{WI: 1, ID: "a", Addr: l.Addr().String(), Message: m, Timeout: 5000})
-	m.memory.letGo() // the client has left
+	m.memory.release() // the client has left
 	if _, err := l.Accept(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/transport/races_test.go
+++ b/internal/transport/races_test.go
@@ -685,7 +685,7 @@
 		if left := sockets - int(p.clients.maxConns.Load()) - p.workers.maxConns; left < reservedSockets && sockets >= 64 {
 			t.Fatalf("with %d descriptors, %d are left", sockets, left)
 		}
-		if memory := int64(sockets) * smallRequest; maxClientConns(float64(sockets), memory) > max(int(memory/connBytes), minClientConns) {
+		if memory := int64(sockets) * smallRequestBytes; maxClientConns(float64(sockets), memory) > max(int(memory/connBytes), minClientConns) {
 			t.Fatalf("%d connections in %d bytes", maxClientConns(float64(sockets), memory), memory)
 		}
 		if p.clients.maxConns.Load() < minClientConns || p.workers.maxConns < minWorkerConns {
@@ -1013,11 +1013,12 @@
 	await(t, "the first", w.requests).respond(acceptedResponse)
 	r.finish("first")
 	second := await(t, "the second", w.requests)
-	c.SetReadDeadline(time.Now().Add(testTimeout))
+	c.SetReadDeadline(time.Now().Add(2 * time.Second)) // long before the second expires
 	in := bufio.NewReader(c)
 	if a, err := http.ReadResponse(in, nil); err != nil || a.StatusCode != 200 {
 		t.Fatalf("the first, while the second is served: %v %v", a, err)
 	}
+	c.SetReadDeadline(time.Now().Add(testTimeout))
 	second.respond(acceptedResponse)
 	r.finish("second")
 	if a, err := http.ReadResponse(in, nil); err != nil || a.StatusCode != 200 {
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -28,7 +28,7 @@
 }
 
 // Read buffers for usual heads and for large ones, and write buffers.
-var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, usualHead) }}
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, usualHeadBytes) }}
 var largeReaders = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, maxHead) }}
 var writers = sync.Pool{New: func() any { return bufio.NewWriter(nil) }}
 
@@ -69,7 +69,7 @@
 	s.response = fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(s.response)
 	h, err := s.readHead()
-	defer h.memory.letGo()
+	defer h.memory.release()
 	s.last = h.last
 	switch {
 	case errors.Is(err, io.EOF), errors.Is(err, net.ErrClosed): // also if it was evicted
--- a/internal/transport/takeover.go
+++ b/internal/transport/takeover.go
@@ -238,7 +238,7 @@
 // keepTransferred returns the request of a job that the predecessor handed over. Its memory is reserved even
 // if there is too little: the predecessor has accepted the job.
 func (c *clientServer) keepTransferred(transferred transferredJob) *message {
-	bytes := beyondSmall(len(transferred.Head) + len(transferred.Body))
+	bytes := excessBytes(len(transferred.Head) + len(transferred.Body))
 	c.memory.waiting.reserve(bytes)
 	return &message{head: transferred.Head, body: transferred.Body, memory: newReservation(&c.memory.waiting, bytes)}
 }
@@ -257,7 +257,7 @@
 // answerAdopted waits for the reply to an adopted job and writes it. It returns false if the connection is to be
 // closed.
 func (c *clientServer) answerAdopted(cc *clientConn, client *node.Request, m *message, reply <-chan node.Reply) bool {
-	defer m.memory.letGo()
+	defer m.memory.release()
 	s := &session{server: c, conn: cc, response: fasthttp.AcquireResponse()}
 	defer fasthttp.ReleaseResponse(s.response)
 	r := node.Reply{Result: node.WrittenOff}
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -60,7 +60,7 @@
 // it is not copied for each hand-off.
 func (m *message) encode(addr string, timeout float64, mark string) (head, body []byte) {
 	const otherBytes = 80 // names, numbers and line ends of the added lines
-	b := make([]byte, 0, len(m.head)+len(addr)+len(mark)+otherBytes+min(len(m.body), smallRequest))
+	b := make([]byte, 0, len(m.head)+len(addr)+len(mark)+otherBytes+min(len(m.body), smallRequestBytes))
 	b = append(b, m.head...)
 	b = append(b, "Host: "...)
 	b = append(b, addr...)
@@ -70,7 +70,7 @@
 		b = append(append(b, "\r\nX-Release: "...), mark...)
 	}
 	b = append(b, "\r\n\r\n"...)
-	if len(m.body) > smallRequest {
+	if len(m.body) > smallRequestBytes {
 		return b, m.body
 	}
 	return append(b, m.body...), nil
@@ -319,7 +319,7 @@
 	m := s.Message.(*message)
 	s.Message = nil // the attempt may outlive the need for it
 	a := &attempt{w: w, req: s, cancel: cancel, endsBy: endOf(s)}
-	m.memory.hold()
+	m.memory.retain()
 	w.running.Go(func() { a.run(ctx, m) })
 	return a
 }
@@ -358,7 +358,7 @@
 
 // write writes the request to a connection, and returns it. If the hand-off ended before that, it returns nil.
 func (a *attempt) write(ctx context.Context, m *message) *workerConn {
-	defer m.memory.letGo()
+	defer m.memory.release()
 	conn, err := a.w.acquire(ctx, a.req.Addr)
 	if err != nil {
 		a.finish(dispatch.ConnectFailed, err)
