--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 )
 
@@ -21,7 +22,6 @@
 
 // modelHeartbeat is a heartbeat in flight to the leader, modelReply a reply in flight to the member.
 type modelHeartbeat struct {
-	inFlight  bool
 	heartbeat Heartbeat
 	sent      float64
 }
@@ -35,7 +35,7 @@
 type modelMember struct {
 	holder    LeaseHolder
 	run       int
-	heartbeat modelHeartbeat
+	heartbeat *modelHeartbeat // nil: none; shared by all states that it is in
 	reply     modelReply
 	up        bool
 }
@@ -43,9 +43,9 @@
 // model is one state of the model.
 type model struct {
 	now           float64
-	state         int // of the leader's history: index into checker.states
-	leases        *LeaseManager
-	fenceReported bool // the fence was reported complete
+	state         int           // of the leader's history: index into checker.states
+	leases        *LeaseManager // shared by all states that it is in: cloned before a change
+	fenceReported bool          // the fence was reported complete
 	elections     int
 	crashes       int
 	losses        int
@@ -65,11 +65,38 @@
 	t         *testing.T
 	variant   faultyVariant
 	states    []*State // before and after the publication of the fenced version
-	visited   map[uint64]struct{}
+	visited   fingerprintSet
 	seed      maphash.Seed
 	maxStates int
-	violation string
 	members   int // number of members
+	mu        sync.Mutex
+	violation string
+}
+
+// fingerprintSet is a set of 64-bit fingerprints for use from several goroutines. Of n states two share a
+// fingerprint, so that one is not visited, with a probability of about n*n/2^65: 2e-7 for 3 million.
+type fingerprintSet struct {
+	shards [64]struct {
+		mu  sync.Mutex
+		set map[uint64]struct{}
+	}
+	size atomic.Int64
+}
+
+// add adds a fingerprint. It returns false if the set has it already.
+func (f *fingerprintSet) add(fingerprint uint64) bool {
+	shard := &f.shards[fingerprint%uint64(len(f.shards))]
+	shard.mu.Lock()
+	defer shard.mu.Unlock()
+	if _, ok := shard.set[fingerprint]; ok {
+		return false
+	}
+	if shard.set == nil {
+		shard.set = map[uint64]struct{}{}
+	}
+	shard.set[fingerprint] = struct{}{}
+	f.size.Add(1)
+	return true
 }
 
 func (lm *LeaseManager) clone() *LeaseManager {
@@ -85,14 +112,13 @@
 
 func (m *model) clone() *model {
 	c := *m
-	c.leases = m.leases.clone()
 	return &c
 }
 
 func modelName(k int) string { return fmt.Sprint("m", k) }
 
 func newChecker(t *testing.T, variant faultyVariant, members, maxStates int) *checker {
-	c := &checker{t: t, members: members, variant: variant, visited: map[uint64]struct{}{}, seed: maphash.MakeSeed(), maxStates: maxStates}
+	c := &checker{t: t, members: members, variant: variant, seed: maphash.MakeSeed(), maxStates: maxStates}
 	s := NewState("f")
 	for k := range members {
 		for _, run := range []string{"0", "1"} {
@@ -137,8 +163,8 @@
 	for k := range m.members[:c.members] {
 		x := &m.members[k]
 		num(yes(x.up), float64(x.run), rel(x.holder.leaseExpiry), float64(x.holder.activeVersion), float64(x.holder.pendingVersion), float64(x.holder.state.NewestVersion()), float64(x.holder.fencedVersion),
-			yes(x.heartbeat.inFlight), yes(x.reply.inFlight))
-		if x.heartbeat.inFlight {
+			yes(x.heartbeat != nil), yes(x.reply.inFlight))
+		if x.heartbeat != nil {
 			num(rel(x.heartbeat.sent), float64(x.heartbeat.heartbeat.ActiveVersion))
 			h.WriteString(x.heartbeat.heartbeat.RunID)
 		}
@@ -153,43 +179,38 @@
 	return h.Sum64()
 }
 
-// explore visits all states breadth first, until there are no new ones or maxStates were visited.
+// explore visits all states breadth first, until there are no new ones or maxStates were visited. A level that
+// reaches maxStates is visited to its end, but its states beyond that many are not kept, as none follows them.
 func (c *checker) explore(first *model) (depth int) {
 	level := []*model{first}
-	c.visited[c.key(first)] = struct{}{}
-	for ; len(level) > 0 && len(c.visited) < c.maxStates; depth++ {
+	c.visited.add(c.key(first))
+	for ; len(level) > 0 && c.size() < c.maxStates && c.violation == ""; depth++ {
 		parts := make([][]*model, runtime.GOMAXPROCS(0))
-		keys := make([][]uint64, len(parts))
 		var wait sync.WaitGroup
 		for p := range parts {
 			wait.Go(func() {
 				for k := p; k < len(level); k += len(parts) {
 					c.successors(level[k], func(m *model) {
-						key := c.key(m)
-						if _, ok := c.visited[key]; !ok { // from earlier levels; no concurrent writes
-							parts[p], keys[p] = append(parts[p], m), append(keys[p], key)
+						if !c.visited.add(c.key(m)) {
+							return
+						}
+						if c.checkFence(m); c.size() < c.maxStates {
+							parts[p] = append(parts[p], m)
 						}
 					})
+					level[k] = nil
 				}
 			})
 		}
 		wait.Wait()
-		level = level[:0]
-		for p, part := range parts {
-			for k, m := range part {
-				if _, ok := c.visited[keys[p][k]]; !ok {
-					c.visited[keys[p][k]] = struct{}{}
-					level = append(level, m)
-					if c.checkFence(m); c.violation != "" {
-						return depth + 1
-					}
-				}
-			}
-		}
+		level = slices.Concat(parts...)
 	}
 	return depth
 }
 
+// size returns the number of states visited.
+func (c *checker) size() int { return int(c.visited.size.Load()) }
+
 // successors generates all states that can follow.
 func (c *checker) successors(m *model, each func(*model)) {
 	do := func(f func(m *model)) {
@@ -200,24 +221,25 @@
 	for k := range m.members[:c.members] {
 		x := &m.members[k]
 		name := modelName(k)
-		if x.up && !x.heartbeat.inFlight && !x.reply.inFlight {
+		if x.up && x.heartbeat == nil && !x.reply.inFlight {
 			do(func(m *model) { // the member sends a heartbeat
 				y := &m.members[k]
-				y.heartbeat = modelHeartbeat{inFlight: true, sent: m.now, heartbeat: Heartbeat{Fleet: "f", Format: FormatVersion, Member: name, Address: name, RunID: fmt.Sprint(y.run), OwnsAddress: true,
+				y.heartbeat = &modelHeartbeat{sent: m.now, heartbeat: Heartbeat{Fleet: "f", Format: FormatVersion, Member: name, Address: name, RunID: fmt.Sprint(y.run), OwnsAddress: true,
 					IsolationPolicy: StopWhenIsolated, LastSeq: y.holder.state.LastSeq(), ActiveVersion: y.holder.activeVersion, Lease: 4}}
 			})
 		}
-		if x.heartbeat.inFlight {
+		if x.heartbeat != nil {
 			do(func(m *model) { // it arrives, and a quorum confirms the leader
 				y := &m.members[k]
+				m.leases = m.leases.clone()
 				r, _ := m.leases.HandleHeartbeat(m.now, y.heartbeat.heartbeat, c.states[m.state])
 				if y.up && fmt.Sprint(y.run) == y.heartbeat.heartbeat.RunID {
 					y.reply = modelReply{true, r, y.heartbeat.sent}
 				}
-				y.heartbeat = modelHeartbeat{}
+				y.heartbeat = nil
 			})
 			if m.losses < 1 {
-				do(func(m *model) { m.members[k].heartbeat, m.losses = modelHeartbeat{}, m.losses+1 })
+				do(func(m *model) { m.members[k].heartbeat, m.losses = nil, m.losses+1 })
 			}
 		}
 		if x.reply.inFlight {
@@ -283,7 +305,9 @@
 	}
 	for k := range m.members[:c.members] {
 		if x := &m.members[k]; x.up && x.holder.activeVersion < 1 && x.holder.AcceptUntil(m.now) > m.now {
+			c.mu.Lock()
 			c.violation = fmt.Sprintf("at %g: %s may act on version 0 until %g, but the fence of version 1 was reported complete", m.now, modelName(k), x.holder.AcceptUntil(m.now))
+			c.mu.Unlock()
 		}
 	}
 }
@@ -291,13 +315,13 @@
 func TestModel(t *testing.T) {
 	c := newChecker(t, faultyVariant{}, modelMembers, 1_000_000)
 	depth := c.explore(c.start())
-	t.Logf("three members: %d states, complete up to %d steps", len(c.visited), depth-1)
+	t.Logf("three members: %d states, complete up to %d steps", c.size(), depth-1)
 	if c.violation != "" {
 		t.Fatal(c.violation)
 	}
 	c = newChecker(t, faultyVariant{}, 1, 300_000)
 	depth = c.explore(c.start())
-	t.Logf("one member: %d states, %d steps", len(c.visited), depth)
+	t.Logf("one member: %d states, %d steps", c.size(), depth)
 	if c.violation != "" {
 		t.Fatal(c.violation)
 	}
@@ -309,9 +333,9 @@
 		c := newChecker(t, variant, n, 1_000_000)
 		depth := c.explore(c.start())
 		if c.violation == "" {
-			t.Errorf("%s: not detected in %d states", what, len(c.visited))
+			t.Errorf("%s: not detected in %d states", what, c.size())
 		} else {
-			t.Logf("%s: detected after %d states and %d steps: %s", what, len(c.visited), depth, c.violation)
+			t.Logf("%s: detected after %d states and %d steps: %s", what, c.size(), depth, c.violation)
 		}
 	}
 }
