Callbacks that wait for memory wait in turn

Callers saw: beside busy processes TestMemoryLimit served 3 of 30 usual jobs in "large callbacks" at 64 MB.

Cause: while there is no memory for a callback, each one that waits searched all connections for a slow reader every 5 ms. 600 of them on 600 connections took 5.1 s of CPU for a flood of 2,400 callbacks (64 MB, machine else idle).

Change: one of them searches, the others wait for their turn. A callback that finds memory at once does not wait.

TestWaitingCallbacksIdle failed before: 2.5 and 2.8 s of CPU in 1 s of waiting; it allows a quarter of one CPU.

--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -130,13 +130,21 @@
 }
 
 // awaitAnswerMemory reserves memory for a callback. While there is none it closes clients that do not read
-// their answers. It returns false if there was none within callbackWait.
+// their answers. It returns false if there was none within callbackWait. Callbacks wait in turn: hundreds that
+// each search for a client to close would take the CPU of usual jobs.
 func (c *clientServer) awaitAnswerMemory(bytes int64) bool {
-	for end := time.Now().Add(callbackWait); !c.memory.answers.tryReserve(bytes); time.Sleep(callbackRetry) {
+	if c.memory.answers.tryReserve(bytes) {
+		return true
+	}
+	end := time.Now().Add(callbackWait)
+	c.callbackTurn.Lock()
+	defer c.callbackTurn.Unlock()
+	for !c.memory.answers.tryReserve(bytes) {
 		if time.Now().After(end) {
 			return false
 		}
 		c.closeSlowReader()
+		time.Sleep(callbackRetry)
 	}
 	return true
 }
--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -59,6 +59,7 @@
 	closeAfterAnswer   atomic.Bool  // every client must go elsewhere
 	memory             clientMemory
 	crowdedHeads       crowdedHeads
+	callbackTurn       sync.Mutex // held by the callback that waits for memory next
 	mu                 sync.Mutex
 	conns              map[*clientConn]bool
 }
--- a/internal/transport/memory_test.go
+++ b/internal/transport/memory_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -257,3 +258,33 @@
 		t.Errorf("%d slow senders were closed, wanted 1", closed)
 	}
 }
+
+// TestWaitingCallbacksIdle guards against callbacks that take the CPU of usual jobs while they wait for memory:
+// each of them searched all connections for a slow reader, again and again.
+func TestWaitingCallbacksIdle(t *testing.T) {
+	const callbacks, conns, mostCPU = 500, 500, callbackWait / 4
+	c := &clientServer{conns: map[*clientConn]bool{}}
+	for range conns {
+		c.conns[&clientConn{owner: c}] = true
+	}
+	before := processCPU()
+	var waiting sync.WaitGroup
+	for range callbacks {
+		waiting.Go(func() {
+			if c.awaitAnswerMemory(1) {
+				t.Error("there was memory")
+			}
+		})
+	}
+	waiting.Wait()
+	if used := processCPU() - before; used > mostCPU {
+		t.Errorf("%v of CPU while %d callbacks waited %v", used, callbacks, callbackWait)
+	}
+}
+
+// processCPU returns the CPU time that the process has used.
+func processCPU() time.Duration {
+	var usage syscall.Rusage
+	syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
+	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
+}
