A flood of events does not keep the node from deciding, nor poison its due times

Cause: the event loop read its clock, then handled events until the queue was empty. 600 clients keep it filled, so rounds came 2.4 s late, and a request that arrived meanwhile had its time left counted from the old reading: 7.4 s of 5 s. The dispatcher takes the longest time left of a category for that of a first try, so every later job seemed to be a retry that had spent 2.4 s of a due time of 2 s (by a trace: due 446 to 452 ms before its arrival, each job, from then on).

Change: the loop handles what is queued when it reads its clock; what comes later waits for the next reading.

Evidence: TestQueueFlood failed before: the work was sent 900 events after it arrived.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -504,22 +504,18 @@
 	close(n.stopped)
 }
 
-// handleQueued handles the given events and all queued ones before it decides anything, even when a timer
-// fires. After the process was suspended, both are present at once, and the node must not act on work that
-// has ended meanwhile.
+// handleQueued handles the given events and those that are queued by now before it decides anything, even when a
+// timer fires. After the process was suspended, both are present at once, and the node must not act on work that
+// has ended meanwhile. Later events wait for the next time: under a flood of them nothing would be decided, and
+// requests that are newer than the node's time would seem to have more time left than they have.
 func (n *Node) handleQueued(values ...any) {
+	queued := len(n.queue)
 	n.now = n.Now()
 	for _, v := range values {
 		n.handle(v)
 	}
-	for {
-		select {
-		case v := <-n.queue:
-			n.handle(v)
-			continue
-		default:
-		}
-		break
+	for range queued {
+		n.handle(<-n.queue)
 	}
 	n.advance()
 }
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -85,6 +85,47 @@
 	}
 }
 
+// floodTransport calls onForward for each callback that is forwarded.
+type floodTransport struct {
+	*script
+	onForward func(Callback)
+}
+
+func (f floodTransport) ForwardCallback(c Callback) { f.onForward(c) }
+
+// TestQueueFlood guards against a flood of events that keeps the node from deciding anything, and makes a
+// request that arrives meanwhile seem to have more time left than its category has: all later ones then looked
+// like retries, and were deferred for good.
+func TestQueueFlood(t *testing.T) {
+	const expiry, arrivesAfter, flood = 2000, 100, 1000
+	s := newScript(false, member("w1", dispatch.Up))
+	now := 1100.0
+	s.clock = func() float64 { return now }
+	s.handleQueued(DiscoveryUpdate{Watch: 1, Revision: 1})
+	forwarded := 0
+	s.transport = floodTransport{s, func(c Callback) {
+		now += 10 // each takes that long
+		if forwarded++; forwarded == arrivesAfter {
+			r := s.client("a", 0, 0)
+			r.Request.Expiry = now + expiry
+			s.queue <- r
+		}
+		if forwarded < flood {
+			s.queue <- c
+		}
+	}}
+	s.queue <- Callback{ID: "unknown", Respond: func(CallbackResult) {}}
+	for forwarded < flood && !strings.Contains(s.log.String(), "send a") {
+		s.handleQueued()
+	}
+	if late := forwarded - arrivesAfter; late > 2 {
+		t.Errorf("the work was sent %d events after it arrived:\n%s", late, s.log.String())
+	}
+	if left := s.decider.(takeoverDecider).Learned().Most[0]; left > expiry {
+		t.Errorf("the work seemed to have %v ms left of at most %d", left, expiry)
+	}
+}
+
 // TestRacingEvents: two events that end the same work or watch meet, in both orders and within one round.
 // Each client gets at most one answer, whatever follows.
 func TestRacingEvents(t *testing.T) {
