A callback for an unknown job is encoded only for a process that can be asked

Cause: the event loop encoded each callback for an unknown job as JSON, up to 64 KB of it, before it looked whether there is a predecessor or a successor.

--- a/internal/takeover/exchange.go
+++ b/internal/takeover/exchange.go
@@ -421,8 +421,9 @@
 
 // ForwardCallback forwards a callback for a job that this process doesn't know: to the predecessor if the
 // callback came from the successor, to the successor if it came from the predecessor, to both in turn if it
-// came from a worker. It doesn't wait; it calls reply once.
-func (x *Exchange) ForwardCallback(callback []byte, fromSuccessor, fromPredecessor bool, reply func(CallbackResult)) {
+// came from a worker. It doesn't wait; it calls reply once. It calls encode, if there is such a process, on
+// another goroutine.
+func (x *Exchange) ForwardCallback(encode func() []byte, fromSuccessor, fromPredecessor bool, reply func(CallbackResult)) {
 	x.mu.Lock()
 	predecessor, successor := x.predecessor, x.successor
 	x.mu.Unlock()
@@ -431,11 +432,11 @@
 			reply(a)
 			return
 		}
-		go successor.forwardCallback(callback, reply)
+		go successor.forwardCallback(encode(), reply)
 	}
 	if predecessor == nil || fromPredecessor {
 		trySuccessor(JobNotFound)
 		return
 	}
-	go predecessor.forwardCallback(callback, trySuccessor)
+	go predecessor.forwardCallback(encode(), trySuccessor)
 }
--- a/internal/transport/takeover.go
+++ b/internal/transport/takeover.go
@@ -284,16 +284,15 @@
 
 // ForwardCallback asks the other processes about a callback.
 func (t *Transport) ForwardCallback(c node.Callback) {
-	text, err := json.Marshal(forwardedCallback{c.ID, c.From, c.State, c.Share, c.Result})
-	if err != nil || t.options.Exchange == nil {
+	if t.options.Exchange == nil || c.FromSuccessor && c.FromPredecessor {
 		c.Respond(node.CallbackUnknown)
 		return
 	}
-	if c.FromSuccessor && c.FromPredecessor {
-		c.Respond(node.CallbackUnknown)
-		return
+	encode := func() []byte {
+		text, _ := json.Marshal(forwardedCallback{c.ID, c.From, c.State, c.Share, c.Result}) // cannot fail: it came as JSON
+		return text
 	}
-	t.options.Exchange.ForwardCallback(text, c.FromSuccessor, c.FromPredecessor, func(a takeover.CallbackResult) {
+	t.options.Exchange.ForwardCallback(encode, c.FromSuccessor, c.FromPredecessor, func(a takeover.CallbackResult) {
 		if a != takeover.JobNotFound || c.FromPredecessor || !t.options.Exchange.HasPredecessor() {
 			c.Respond(callbackResults[a])
 			return
