A fence counts a member that serves alone only when its folder has the version

Cause: a member reports a version as in force when its event loop has it, and the leader counts that for the fence; its folder got the version with the next turn of saveLoop, up to a second later.

Change: heartbeats tell the newest version that the folder holds (key 22), and a fence waits for it, by name and with the reason, where the member serves alone. One that stops alone needs a lease after its start, which it gets with no older version. A version is saved when it arrives, and the folder's entries are synced. A process that knows less than its predecessor stored does not replace that. Leases are granted by the version in force as before, so a disk that fails stops no work.

A member of an earlier program does not tell what its folder holds: where it serves alone, fences wait for it until it is upgraded, or removed.

--- a/internal/fleet/lease_holder.go
+++ b/internal/fleet/lease_holder.go
@@ -47,6 +47,8 @@
 	// raft ID that a voter requests after the loss of its directory
 	RequestedRaftID uint64 `cbor:"20,keyasint,omitempty"`
 	VoterStatus     string `cbor:"21,keyasint,omitempty"` // status text of its voter, if it has one
+	// newest version in its directory, which a process that is started later begins with
+	SavedVersion uint64 `cbor:"22,keyasint,omitempty"`
 }
 
 // LeaseRenewal is the leader's reply to a heartbeat. It also tells why a lease is not renewed.
--- a/internal/fleet/lease_manager.go
+++ b/internal/fleet/lease_manager.go
@@ -30,6 +30,14 @@
 	runs            map[string][]RunRecord // by member, as last reported
 }
 
+// isPast reports whether neither the process nor one that is started from its directory acts on versions before
+// the given one. A member that stops when isolated gets no lease for an older version, whatever its directory
+// holds.
+func (p *process) isPast(version uint64) bool {
+	hb := &p.heartbeat
+	return hb.ActiveVersion >= version && (hb.IsolationPolicy == StopWhenIsolated || hb.SavedVersion >= version)
+}
+
 // NewLeaseManager returns the manager of a newly elected leader. The previous leader may have granted leases
 // until now.
 func NewLeaseManager(timing Timing, now float64) *LeaseManager {
@@ -182,13 +190,15 @@
 	}
 	for k, p := range processes {
 		switch {
-		case p.heartbeat.ActiveVersion >= version || p.heartbeat.Leaving:
+		case p.isPast(version) || p.heartbeat.Leaving:
 			continue
 		// a newer process owns the address: p is dead, or hands off no more work
 		case slices.ContainsFunc(processes[k+1:], func(x *process) bool { return x.heartbeat.OwnsAddress }):
 			if w, waiting := waitForLease(p.leaseExpiry, "the lease of a process before"); waiting {
 				return w, true
 			}
+		case p.heartbeat.ActiveVersion >= version:
+			return FenceWait{Reason: fmt.Sprintf("version %d is in its folder, and it serves alone", p.heartbeat.SavedVersion), Remaining: -1}, true
 		case p.heartbeat.IsolationPolicy != StopWhenIsolated:
 			return FenceWait{Reason: fmt.Sprintf("version %d is in force there, and it serves alone", p.heartbeat.ActiveVersion), Remaining: -1}, true
 		default:
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -34,6 +34,7 @@
 
 type modelMember struct {
 	holder    LeaseHolder
+	saved     int // the state in its directory: index into checker.states
 	run       int
 	heartbeat *modelHeartbeat // nil: none; shared by all states that it is in
 	reply     modelReply
@@ -59,11 +60,13 @@
 	leaseFromReceipt bool // the lease runs from the receipt of the reply
 	ignoresOldLeases bool // a new leader ignores leases granted before its election
 	fenceByMajority  bool // a fence is reported complete once a majority has the version
+	reportsUnsaved   bool // a version is reported as saved before it is
 }
 
 type checker struct {
 	t         *testing.T
 	variant   faultyVariant
+	policy    IsolationPolicy
 	states    []*State // before and after the publication of the fenced version
 	visited   fingerprintSet
 	seed      maphash.Seed
@@ -117,12 +120,12 @@
 
 func modelName(k int) string { return fmt.Sprint("m", k) }
 
-func newChecker(t *testing.T, variant faultyVariant, members, maxStates int) *checker {
-	c := &checker{t: t, members: members, variant: variant, seed: maphash.MakeSeed(), maxStates: maxStates}
+func newChecker(t *testing.T, variant faultyVariant, policy IsolationPolicy, members, maxStates int) *checker {
+	c := &checker{t: t, members: members, variant: variant, policy: policy, seed: maphash.MakeSeed(), maxStates: maxStates}
 	s := NewState("f")
 	for k := range members {
 		for _, run := range []string{"0", "1"} {
-			if _, _, err := s.Apply(Command{Kind: AdmitMember, Member: modelName(k), Address: modelName(k), IsolationPolicy: StopWhenIsolated, RunID: run}); err != nil {
+			if _, _, err := s.Apply(Command{Kind: AdmitMember, Member: modelName(k), Address: modelName(k), IsolationPolicy: policy, RunID: run}); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -138,7 +141,7 @@
 func (c *checker) start() *model {
 	m := &model{now: 0, leases: NewLeaseManager(modelTiming, 0)}
 	for k := range m.members[:c.members] {
-		m.members[k] = modelMember{up: true, holder: *NewLeaseHolder(modelTiming, modelName(k), "1.0.0", StopWhenIsolated, c.states[0], 0)}
+		m.members[k] = modelMember{up: true, holder: *NewLeaseHolder(modelTiming, modelName(k), "1.0.0", c.policy, c.states[0], 0)}
 	}
 	return m
 }
@@ -162,10 +165,10 @@
 	num(m.now, float64(m.state), float64(m.elections), float64(m.crashes), float64(m.losses), yes(m.fenceReported), rel(m.leases.electedAt))
 	for k := range m.members[:c.members] {
 		x := &m.members[k]
-		num(yes(x.up), float64(x.run), rel(x.holder.leaseExpiry), float64(x.holder.activeVersion), float64(x.holder.pendingVersion), float64(x.holder.state.NewestVersion()), float64(x.holder.fencedVersion),
+		num(yes(x.up), float64(x.run), float64(x.saved), rel(x.holder.leaseExpiry), float64(x.holder.activeVersion), float64(x.holder.pendingVersion), float64(x.holder.state.NewestVersion()), float64(x.holder.fencedVersion),
 			yes(x.heartbeat != nil), yes(x.reply.inFlight))
 		if x.heartbeat != nil {
-			num(rel(x.heartbeat.sent), float64(x.heartbeat.heartbeat.ActiveVersion))
+			num(rel(x.heartbeat.sent), float64(x.heartbeat.heartbeat.ActiveVersion), float64(x.heartbeat.heartbeat.SavedVersion))
 			h.WriteString(x.heartbeat.heartbeat.RunID)
 		}
 		if x.reply.inFlight {
@@ -173,7 +176,7 @@
 		}
 		for _, p := range m.leases.processes[modelName(k)] {
 			h.WriteString(p.heartbeat.RunID)
-			num(rel(p.leaseExpiry), rel(p.lastContact), float64(p.heartbeat.ActiveVersion))
+			num(rel(p.leaseExpiry), rel(p.lastContact), float64(p.heartbeat.ActiveVersion), float64(p.heartbeat.SavedVersion))
 		}
 	}
 	return h.Sum64()
@@ -225,7 +228,7 @@
 			do(func(m *model) { // the member sends a heartbeat
 				y := &m.members[k]
 				y.heartbeat = &modelHeartbeat{sent: m.now, heartbeat: Heartbeat{Fleet: "f", Format: FormatVersion, Member: name, Address: name, RunID: fmt.Sprint(y.run), OwnsAddress: true,
-					IsolationPolicy: StopWhenIsolated, LastSeq: y.holder.state.LastSeq(), ActiveVersion: y.holder.activeVersion, Lease: 4}}
+					IsolationPolicy: c.policy, LastSeq: y.holder.state.LastSeq(), ActiveVersion: y.holder.activeVersion, SavedVersion: c.savedVersion(y), Lease: 4}}
 			})
 		}
 		if x.heartbeat != nil {
@@ -263,13 +266,18 @@
 		if x.up && x.holder.pendingVersion > 0 {
 			do(func(m *model) { m.members[k].holder.VersionApplied(m.members[k].holder.pendingVersion) })
 		}
+		// A directory matters only to a member that may act without a lease; of the others it may be older.
+		if x.up && c.policy == ServeWhenIsolated && c.states[x.saved].LastSeq() < x.holder.state.LastSeq() {
+			do(func(m *model) { m.members[k].saved = 1 })
+		}
 		if x.up && m.crashes < 1 {
-			do(func(m *model) { // killed and restarted, with its directory unchanged or older
+			do(func(m *model) { // killed and restarted
 				y := &m.members[k]
 				m.crashes++
 				y.run++
 				y.reply = modelReply{}
-				y.holder = *NewLeaseHolder(modelTiming, name, "1.0.0", StopWhenIsolated, c.states[0], m.now)
+				y.holder = *NewLeaseHolder(modelTiming, name, "1.0.0", c.policy, c.states[y.saved], m.now)
+				y.holder.NextVersion()
 			})
 		}
 	}
@@ -290,6 +298,14 @@
 	}
 }
 
+// savedVersion returns the version that a member reports as saved.
+func (c *checker) savedVersion(x *modelMember) uint64 {
+	if c.variant.reportsUnsaved {
+		return x.holder.state.NewestVersion()
+	}
+	return c.states[x.saved].NewestVersion()
+}
+
 // checkFence checks that no member can act on an older version once the fence was reported complete, and
 // reports the fence if it is complete.
 func (c *checker) checkFence(m *model) {
@@ -312,25 +328,37 @@
 	}
 }
 
+// TestModel checks that nobody acts on an older version once its fence was reported complete, in all
+// interleavings, and that the check finds each faulty variant. reportsUnsaved guards against a member that is
+// killed before its directory has the version that it reported, and acts alone on an older one.
 func TestModel(t *testing.T) {
-	c := newChecker(t, faultyVariant{}, modelMembers, 1_000_000)
-	depth := c.explore(c.start())
-	t.Logf("three members: %d states, complete up to %d steps", c.size(), depth-1)
-	if c.violation != "" {
-		t.Fatal(c.violation)
-	}
-	c = newChecker(t, faultyVariant{}, 1, 300_000)
-	depth = c.explore(c.start())
-	t.Logf("one member: %d states, %d steps", c.size(), depth)
-	if c.violation != "" {
-		t.Fatal(c.violation)
-	}
-	for what, variant := range map[string]faultyVariant{"lease runs from receipt": {leaseFromReceipt: true}, "leases before the election ignored": {ignoresOldLeases: true}, "fence complete by majority": {fenceByMajority: true}} {
-		n := 1
-		if variant.fenceByMajority {
-			n = 2
+	for _, r := range []struct {
+		policy             IsolationPolicy
+		members, maxStates int
+	}{
+		{StopWhenIsolated, modelMembers, 1_000_000},
+		{StopWhenIsolated, 1, 300_000},
+		{ServeWhenIsolated, 2, 1_000_000},
+		{ServeWhenIsolated, 1, 300_000},
+	} {
+		c := newChecker(t, faultyVariant{}, r.policy, r.members, r.maxStates)
+		depth := c.explore(c.start())
+		t.Logf("%s, members %d: %d states, %d steps", r.policy, r.members, c.size(), depth)
+		if c.violation != "" {
+			t.Fatal(c.violation)
 		}
-		c := newChecker(t, variant, n, 1_000_000)
+	}
+	for what, r := range map[string]struct {
+		variant faultyVariant
+		policy  IsolationPolicy
+		members int
+	}{
+		"lease runs from receipt":             {faultyVariant{leaseFromReceipt: true}, StopWhenIsolated, 1},
+		"leases before the election ignored":  {faultyVariant{ignoresOldLeases: true}, StopWhenIsolated, 1},
+		"fence complete by majority":          {faultyVariant{fenceByMajority: true}, StopWhenIsolated, 2},
+		"version reported before it is saved": {faultyVariant{reportsUnsaved: true}, ServeWhenIsolated, 1},
+	} {
+		c := newChecker(t, r.variant, r.policy, r.members, 1_000_000)
 		depth := c.explore(c.start())
 		if c.violation == "" {
 			t.Errorf("%s: not detected in %d states", what, c.size())
--- a/internal/fleetagent/agent.go
+++ b/internal/fleetagent/agent.go
@@ -64,8 +64,10 @@
 	guard      *LeaseGuard
 	dir        *stateDir
 	wg         sync.WaitGroup
+	unsaved    chan struct{} // holds a value when there is a version to be saved at once
 
 	mu               sync.Mutex // guards the fields below
+	savedVersion     uint64     // newest version in the directory
 	holder           *fleet.LeaseHolder
 	rng              *rand.Rand
 	leaderAddr       string // address of the last known leader
@@ -82,11 +84,12 @@
 // Start opens the directory and begins to follow the history. It activates the newest version in the
 // directory at once.
 func Start(opts Options, guard *LeaseGuard) *Agent {
-	a := &Agent{opts: opts, client: fleetrpc.NewClient(opts.Fleet, opts.AddressMap), pollClient: fleetrpc.NewClient(opts.Fleet, opts.AddressMap), guard: guard, rng: rand.New(rand.NewPCG(opts.Seed, 0x666c6565))}
+	a := &Agent{opts: opts, client: fleetrpc.NewClient(opts.Fleet, opts.AddressMap), pollClient: fleetrpc.NewClient(opts.Fleet, opts.AddressMap), guard: guard,
+		unsaved: make(chan struct{}, 1), rng: rand.New(rand.NewPCG(opts.Seed, 0x666c6565))}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	a.dir = openStateDir(opts.Dir)
 	state, runs := a.dir.read(opts.Fleet)
-	a.runs = runs
+	a.runs, a.savedVersion = runs, state.NewestVersion()
 	a.holder = fleet.NewLeaseHolder(opts.Timing, opts.Name, opts.ProgramVersion, opts.IsolationPolicy, state, opts.Clock.Now())
 	a.mu.Lock()
 	a.applyNewest()
@@ -223,7 +226,7 @@
 func (a *Agent) newHeartbeat(leaving bool) fleet.Heartbeat {
 	s := a.holder.State()
 	b := fleet.Heartbeat{Fleet: a.opts.Fleet, Format: fleet.FormatVersion, Member: a.opts.Name, Address: a.opts.Address, RunID: a.opts.RunID, OwnsAddress: a.opts.OwnsAddress(),
-		IsolationPolicy: a.opts.IsolationPolicy, ProgramVersion: a.opts.ProgramVersion, LastSeq: s.LastSeq(), Digest: s.Digest(), ActiveVersion: a.holder.ActiveVersion(), Leaving: leaving,
+		IsolationPolicy: a.opts.IsolationPolicy, ProgramVersion: a.opts.ProgramVersion, LastSeq: s.LastSeq(), Digest: s.Digest(), ActiveVersion: a.holder.ActiveVersion(), SavedVersion: a.savedVersion, Leaving: leaving,
 		StalledFor: a.guard.stalledFor, PendingRestart: a.pendingRestart, Lease: a.opts.Timing.Lease, Drift: a.opts.Timing.Drift}
 	b.RefusedVersion, b.Problem = a.holder.RefusedVersion()
 	if a.followError != "" && b.RefusedVersion == 0 {
@@ -354,6 +357,7 @@
 	}
 	a.followError = ""
 	if len(reply.Entries) > 0 || reply.SnapshotSize > 0 && a.receivedSnapshot == nil {
+		a.requestSave()
 		a.applyNewest()
 		a.updateGuard()
 	}
@@ -383,19 +387,44 @@
 	return a.holder.ReplaceState(s)
 }
 
-// saveLoop saves the run records and the history to the directory.
+// saveLoop saves the run records and the history to the directory: at intervals, and at once when a version
+// arrives. A fence counts this member only when the version is saved.
 func (a *Agent) saveLoop() {
-	for a.sleep(saveInterval) {
+	tick := time.NewTicker(saveInterval)
+	defer tick.Stop()
+	for {
+		select {
+		case <-a.ctx.Done():
+			return
+		case <-tick.C:
+		case <-a.unsaved:
+		}
 		a.save()
 	}
 }
 
+// requestSave makes saveLoop save at once if there is a version that is not saved. The caller holds the lock.
+func (a *Agent) requestSave() {
+	if a.holder.State().NewestVersion() == a.savedVersion {
+		return
+	}
+	select {
+	case a.unsaved <- struct{}{}:
+	default: // a request is pending
+	}
+}
+
 func (a *Agent) save() {
 	a.mu.Lock()
 	s, runs := a.holder.State(), append(slices.Clone(a.runs), a.guard.runRecord())
 	a.updateGuard() // leases also end by time alone
 	a.mu.Unlock()
-	a.dir.write(s, runs)
+	if !a.dir.write(s, runs) {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.savedVersion = max(a.savedVersion, s.NewestVersion())
 }
 
 // HandleAdmin answers an operator's request: through the leader, or from what this member knows itself.
--- a/internal/fleetagent/agent_test.go
+++ b/internal/fleetagent/agent_test.go
@@ -1,9 +1,11 @@
 package fleetagent
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"testing"
+	"time"
 
 	"weldmast/internal/fleet"
 )
@@ -88,3 +90,105 @@
 		t.Error("guard open after close, or no clean exit recorded")
 	}
 }
+
+// stateWith returns a state with so many versions.
+func stateWith(t *testing.T, versions int) *fleet.State {
+	t.Helper()
+	s := fleet.NewState("f")
+	for k := range versions {
+		if _, _, err := s.Apply(fleet.Command{Kind: fleet.PublishVersion, RequestID: fmt.Sprint(k), Text: []byte("{}")}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return s
+}
+
+// startIsolatedAgent starts an agent that reaches no voter and applies versions at once.
+func startIsolatedAgent(t *testing.T, dir string) *Agent {
+	clock := NewClock()
+	a := Start(Options{Fleet: "f", Name: "m", Dir: dir, Timing: fleet.Timing{Beat: 250, Lease: 1000, Drift: 0.01}, ProgramVersion: "1.0.0", Clock: clock,
+		OwnsAddress:  func() bool { return true },
+		ApplyVersion: func(_ fleet.Version, applied func(string)) error { go applied(""); return nil }}, NewLeaseGuard(clock, "run"))
+	t.Cleanup(a.Close)
+	return a
+}
+
+// receive makes the agent follow to a state, as if a voter had sent it, and waits until its version is active.
+func (a *Agent) receive(t *testing.T, s *fleet.State) {
+	t.Helper()
+	a.mu.Lock()
+	if err := a.holder.ReplaceState(s); err != nil {
+		t.Fatal(err)
+	}
+	a.requestSave()
+	a.applyNewest()
+	a.mu.Unlock()
+	waitFor(t, "the version to be active", func() bool { return a.heartbeat().ActiveVersion == s.NewestVersion() })
+}
+
+func (a *Agent) heartbeat() fleet.Heartbeat {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.newHeartbeat(false)
+}
+
+func waitFor(t *testing.T, what string, is func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !is(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("timed out waiting for ", what)
+		}
+	}
+}
+
+// TestVersionSavedBeforeReported guards against a fence that counts a member whose directory does not have the
+// version yet: killed and started without a voter, it acted on the older one.
+func TestVersionSavedBeforeReported(t *testing.T) {
+	dir := t.TempDir()
+	a := startIsolatedAgent(t, dir)
+	fastest := saveInterval
+	for version := uint64(1); version <= 4; version++ {
+		began := time.Now()
+		a.receive(t, stateWith(t, int(version)))
+		waitFor(t, "the version to be reported as saved", func() bool { return a.heartbeat().SavedVersion == version })
+		if s, _ := openStateDir(dir).read("f"); s.NewestVersion() != version {
+			t.Errorf("version %d is reported as saved, but %d is in the directory", version, s.NewestVersion())
+		}
+		fastest = min(fastest, time.Since(began))
+	}
+	if fastest > saveInterval/4 {
+		t.Errorf("saved after %v, not at once", fastest)
+	}
+}
+
+// TestVersionNotSaved: a version that cannot be saved is active, but not reported as saved.
+func TestVersionNotSaved(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "removed")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	a := startIsolatedAgent(t, dir)
+	if err := os.RemoveAll(dir); err != nil {
+		t.Fatal(err)
+	}
+	a.receive(t, stateWith(t, 1))
+	time.Sleep(saveInterval + saveInterval/2)
+	if hb := a.heartbeat(); hb.ActiveVersion != 1 || hb.SavedVersion != 0 {
+		t.Errorf("version %d is reported as active and %d as saved, without a directory", hb.ActiveVersion, hb.SavedVersion)
+	}
+}
+
+// TestOlderStateNotSaved guards against a process that knows less than its predecessor and replaces what that
+// one has stored.
+func TestOlderStateNotSaved(t *testing.T) {
+	dir := t.TempDir()
+	predecessor, successor := openStateDir(dir), openStateDir(dir)
+	if !predecessor.write(stateWith(t, 1), nil) || successor.write(fleet.NewState("f"), nil) {
+		t.Fatal("the predecessor does not have the directory")
+	}
+	predecessor.close()
+	successor.write(fleet.NewState("f"), nil)
+	if s, _ := openStateDir(dir).read("f"); s.NewestVersion() != 1 {
+		t.Errorf("version %d is left in the directory", s.NewestVersion())
+	}
+}
--- a/internal/fleetagent/state_dir.go
+++ b/internal/fleetagent/state_dir.go
@@ -30,7 +30,8 @@
 	path          string
 	lock          *flock.Flock
 	locked        bool
-	writtenDigest fleet.Digest
+	storedSeq     uint64       // last entry that a predecessor process had stored
+	writtenDigest fleet.Digest // of the state that this process has stored
 	loggedError   string
 }
 
@@ -69,27 +70,59 @@
 }
 
 // write saves the state and the runs if this process holds the lock: a predecessor process of this member may
-// still hold it.
-func (d *stateDir) write(s *fleet.State, runs []fleet.RunRecord) {
-	if d.path == "" {
-		return
-	}
-	if !d.locked {
-		locked, err := d.lock.TryLock()
-		if d.locked = locked; !locked {
-			if err != nil {
-				d.logError(err)
-			}
-			return
-		}
+// still hold it. It reports whether the directory has the state, or a later one.
+func (d *stateDir) write(s *fleet.State, runs []fleet.RunRecord) (saved bool) {
+	if d.path == "" || !d.acquire(s.Fleet()) {
+		return false
 	}
 	err := d.writeFile(recordFile, fleet.Encode(runs))
-	if err == nil && (s.Digest() != d.writtenDigest || s.LastSeq() == 0) {
-		if err = d.writeFile(historyFile, s.Snapshot()); err == nil {
-			d.writtenDigest = s.Digest()
-		}
+	if err == nil {
+		err = d.writeHistory(s)
 	}
 	d.logError(err)
+	return err == nil
+}
+
+// acquire locks the directory. It returns false if another process has the lock.
+func (d *stateDir) acquire(name string) bool {
+	if d.locked {
+		return true
+	}
+	locked, err := d.lock.TryLock()
+	if d.locked = locked; !locked {
+		if err != nil {
+			d.logError(err)
+		}
+		return false
+	}
+	stored, _ := d.read(name)
+	d.storedSeq = stored.LastSeq()
+	return true
+}
+
+// writeHistory saves the state, unless it is saved already. This process may know less than its predecessor
+// stored: an older state does not replace a newer one.
+func (d *stateDir) writeHistory(s *fleet.State) error {
+	if s.LastSeq() > 0 && s.Digest() == d.writtenDigest || s.LastSeq() < d.storedSeq {
+		return nil
+	}
+	err := d.writeFile(historyFile, s.Snapshot())
+	if err == nil {
+		err = d.sync()
+	}
+	if err == nil {
+		d.writtenDigest = s.Digest()
+	}
+	return err
+}
+
+// sync makes the names of the files durable.
+func (d *stateDir) sync() error {
+	dir, err := os.Open(d.path)
+	if err != nil {
+		return fmt.Errorf("fleet.folder: %w", err)
+	}
+	return errors.Join(dir.Sync(), dir.Close())
 }
 
 // logError logs an error when it first occurs or changes, and an empty one when it no longer occurs.
