A fence waits for a member that ended with an older version and serves alone

Cause: a member's last heartbeat says that it acts no more, and a fence did not wait for it from then on, whatever its folder held. Started without the council, it serves by the older version after one lease. A leader elected later did wait for it.

Change: where members serve alone, a fence waits for one that ended until it is back or removed, unless its folder has the version; `status` names it with the reason. An agent that closes saves before its last heartbeat.

--- a/internal/fleet/lease_manager.go
+++ b/internal/fleet/lease_manager.go
@@ -190,8 +190,10 @@
 	}
 	for k, p := range processes {
 		switch {
-		case p.isPast(version) || p.heartbeat.Leaving:
+		case p.isPast(version), p.heartbeat.Leaving && (p.heartbeat.IsolationPolicy == StopWhenIsolated || k < len(processes)-1):
 			continue
+		case p.heartbeat.Leaving: // the next process begins with what is in its directory
+			return FenceWait{Reason: fmt.Sprintf("it ended with version %d in its folder, and it serves alone", p.heartbeat.SavedVersion), Remaining: -1}, true
 		// a newer process owns the address: p is dead, or hands off no more work
 		case slices.ContainsFunc(processes[k+1:], func(x *process) bool { return x.heartbeat.OwnsAddress }):
 			if w, waiting := waitForLease(p.leaseExpiry, "the lease of a process before"); waiting {
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -168,7 +168,7 @@
 		num(yes(x.up), float64(x.run), float64(x.saved), rel(x.holder.leaseExpiry), float64(x.holder.activeVersion), float64(x.holder.pendingVersion), float64(x.holder.state.NewestVersion()), float64(x.holder.fencedVersion),
 			yes(x.heartbeat != nil), yes(x.reply.inFlight))
 		if x.heartbeat != nil {
-			num(rel(x.heartbeat.sent), float64(x.heartbeat.heartbeat.ActiveVersion), float64(x.heartbeat.heartbeat.SavedVersion))
+			num(rel(x.heartbeat.sent), float64(x.heartbeat.heartbeat.ActiveVersion), float64(x.heartbeat.heartbeat.SavedVersion), yes(x.heartbeat.heartbeat.Leaving))
 			h.WriteString(x.heartbeat.heartbeat.RunID)
 		}
 		if x.reply.inFlight {
@@ -176,7 +176,7 @@
 		}
 		for _, p := range m.leases.processes[modelName(k)] {
 			h.WriteString(p.heartbeat.RunID)
-			num(rel(p.leaseExpiry), rel(p.lastContact), float64(p.heartbeat.ActiveVersion), float64(p.heartbeat.SavedVersion))
+			num(rel(p.leaseExpiry), rel(p.lastContact), float64(p.heartbeat.ActiveVersion), float64(p.heartbeat.SavedVersion), yes(p.heartbeat.Leaving))
 		}
 	}
 	return h.Sum64()
@@ -223,12 +223,10 @@
 	}
 	for k := range m.members[:c.members] {
 		x := &m.members[k]
-		name := modelName(k)
 		if x.up && x.heartbeat == nil && !x.reply.inFlight {
 			do(func(m *model) { // the member sends a heartbeat
 				y := &m.members[k]
-				y.heartbeat = &modelHeartbeat{sent: m.now, heartbeat: Heartbeat{Fleet: "f", Format: FormatVersion, Member: name, Address: name, RunID: fmt.Sprint(y.run), OwnsAddress: true,
-					IsolationPolicy: c.policy, LastSeq: y.holder.state.LastSeq(), ActiveVersion: y.holder.activeVersion, SavedVersion: c.savedVersion(y), Lease: 4}}
+				y.heartbeat = &modelHeartbeat{sent: m.now, heartbeat: c.newHeartbeat(m, k, false)}
 			})
 		}
 		if x.heartbeat != nil {
@@ -271,14 +269,13 @@
 			do(func(m *model) { m.members[k].saved = 1 })
 		}
 		if x.up && m.crashes < 1 {
-			do(func(m *model) { // killed and restarted
-				y := &m.members[k]
-				m.crashes++
-				y.run++
-				y.reply = modelReply{}
-				y.holder = *NewLeaseHolder(modelTiming, name, "1.0.0", c.policy, c.states[y.saved], m.now)
-				y.holder.NextVersion()
-			})
+			do(func(m *model) { c.restart(m, k) }) // killed
+			if c.policy == ServeWhenIsolated {
+				do(func(m *model) { // it ends in order
+					m.members[k].heartbeat = &modelHeartbeat{sent: m.now, heartbeat: c.newHeartbeat(m, k, true)}
+					c.restart(m, k)
+				})
+			}
 		}
 	}
 	if m.state == 0 {
@@ -298,6 +295,23 @@
 	}
 }
 
+// newHeartbeat returns a member's heartbeat.
+func (c *checker) newHeartbeat(m *model, k int, leaving bool) Heartbeat {
+	x, name := &m.members[k], modelName(k)
+	return Heartbeat{Fleet: "f", Format: FormatVersion, Member: name, Address: name, RunID: fmt.Sprint(x.run), OwnsAddress: true, IsolationPolicy: c.policy,
+		LastSeq: x.holder.state.LastSeq(), ActiveVersion: x.holder.activeVersion, SavedVersion: c.savedVersion(x), Leaving: leaving, Lease: 4}
+}
+
+// restart starts a member's next process, from its directory.
+func (c *checker) restart(m *model, k int) {
+	x := &m.members[k]
+	m.crashes++
+	x.run++
+	x.reply = modelReply{}
+	x.holder = *NewLeaseHolder(modelTiming, modelName(k), "1.0.0", c.policy, c.states[x.saved], m.now)
+	x.holder.NextVersion()
+}
+
 // savedVersion returns the version that a member reports as saved.
 func (c *checker) savedVersion(x *modelMember) uint64 {
 	if c.variant.reportsUnsaved {
--- a/internal/fleetagent/agent.go
+++ b/internal/fleetagent/agent.go
@@ -108,8 +108,8 @@
 	a.pollClient.Close()
 	a.wg.Wait()
 	a.guard.close()
+	a.save() // the last heartbeat tells what is saved
 	a.sendHeartbeat(true)
-	a.save()
 	a.dir.close()
 	a.client.Close()
 }
