A member's folder: only the history is written at once, names synced for new versions

Change: what arrives writes the history alone, and the folder's entries are synced when there is a new version.

Tests as before.

--- a/internal/fleetagent/agent.go
+++ b/internal/fleetagent/agent.go
@@ -397,9 +397,13 @@
 		case <-a.ctx.Done():
 			return
 		case <-tick.C:
+			a.save()
 		case <-a.unsaved:
+			a.mu.Lock()
+			s := a.holder.State()
+			a.mu.Unlock()
+			a.recordSaved(s, a.dir.writeState(s))
 		}
-		a.save()
 	}
 }
 
@@ -419,7 +423,12 @@
 	s, runs := a.holder.State(), append(slices.Clone(a.runs), a.guard.runRecord())
 	a.updateGuard() // leases also end by time alone
 	a.mu.Unlock()
-	if !a.dir.write(s, runs) {
+	a.recordSaved(s, a.dir.write(s, runs))
+}
+
+// recordSaved records that a state is saved.
+func (a *Agent) recordSaved(s *fleet.State, saved bool) {
+	if !saved {
 		return
 	}
 	a.mu.Lock()
--- a/internal/fleetagent/state_dir.go
+++ b/internal/fleetagent/state_dir.go
@@ -32,6 +32,7 @@
 	locked        bool
 	storedSeq     uint64       // last entry that a predecessor process had stored
 	writtenDigest fleet.Digest // of the state that this process has stored
+	syncedVersion uint64       // newest version in a file whose name is durable
 	loggedError   string
 }
 
@@ -69,16 +70,23 @@
 	return s, runs
 }
 
-// write saves the state and the runs if this process holds the lock: a predecessor process of this member may
+// write saves the runs and the state if this process holds the lock: a predecessor process of this member may
 // still hold it. It reports whether the directory has the state, or a later one.
 func (d *stateDir) write(s *fleet.State, runs []fleet.RunRecord) (saved bool) {
 	if d.path == "" || !d.acquire(s.Fleet()) {
 		return false
 	}
 	err := d.writeFile(recordFile, fleet.Encode(runs))
-	if err == nil {
-		err = d.writeHistory(s)
+	d.logError(err)
+	return err == nil && d.writeState(s)
+}
+
+// writeState is write without the runs.
+func (d *stateDir) writeState(s *fleet.State) (saved bool) {
+	if d.path == "" || !d.acquire(s.Fleet()) {
+		return false
 	}
+	err := d.writeHistory(s)
 	d.logError(err)
 	return err == nil
 }
@@ -100,18 +108,18 @@
 	return true
 }
 
-// writeHistory saves the state, unless it is saved already. This process may know less than its predecessor
+// writeHistory writes the state, unless it is written already. This process may know less than its predecessor
 // stored: an older state does not replace a newer one.
 func (d *stateDir) writeHistory(s *fleet.State) error {
 	if s.LastSeq() > 0 && s.Digest() == d.writtenDigest || s.LastSeq() < d.storedSeq {
 		return nil
 	}
 	err := d.writeFile(historyFile, s.Snapshot())
-	if err == nil {
+	if err == nil && s.NewestVersion() != d.syncedVersion {
 		err = d.sync()
 	}
 	if err == nil {
-		d.writtenDigest = s.Digest()
+		d.writtenDigest, d.syncedVersion = s.Digest(), s.NewestVersion()
 	}
 	return err
 }
