No hand-off leaves after the answer to its client

Cause: a hand-off is written by a goroutine of its own, which looks whether its client is still waiting and then writes. Between the two it may wait for a processor, and the answer (a deferral, after the hand-off was called off) can leave first: a client that was told to try again, and a worker that gets the work after that. Whether that was the cause there is not shown.

--- a/internal/transport/jobs.go
+++ b/internal/transport/jobs.go
@@ -13,7 +13,6 @@
 	"slices"
 	"strconv"
 	"strings"
-	"sync/atomic"
 
 	"github.com/valyala/fasthttp"
 
@@ -62,6 +61,7 @@
 // finishJob hands a job over, or sets the response for its reply. It reports whether the job was handed over.
 func (s *session) finishJob(job *node.Request, m *message, r node.Reply) (handedOver bool) {
 	c := s.server
+	m.gate.awaitIdle()
 	if r.Result == node.HandedOver {
 		s.unreadBuffer()
 	}
@@ -95,14 +95,14 @@
 // expectReply returns a channel that receives the reply to the client. Until then, and while the client's
 // connection is open, the work item may be sent.
 func (c *clientConn) expectReply(client *node.Request) <-chan node.Reply {
-	reply, answered := make(chan node.Reply, 1), new(atomic.Bool)
+	reply, m := make(chan node.Reply, 1), client.Message.(*message)
 	client.Respond = func(r node.Reply) {
-		answered.Store(true)
+		m.gate.close()
 		reply <- r
 	}
-	client.Message.(*message).clientWaits = func() bool {
+	m.clientWaits = func() bool {
 		_, left := c.peek()
-		return !left && !answered.Load()
+		return !left && !m.gate.isClosed()
 	}
 	return reply
 }
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -43,6 +43,7 @@
 	body        []byte
 	clientWaits func() bool  // reports whether its client still waits for the answer
 	memory      *reservation // for both; nil: they are part of connBytes
+	gate        answerGate
 }
 
 // contentLengthBytes is the room that setBody needs in the head.
@@ -383,12 +384,13 @@
 	}
 	// The client may have disconnected, or got its answer, while the connection was being opened. The
 	// cancellation that follows may not have arrived yet, or cancelling may be forbidden.
-	if !m.clientWaits() {
+	if !m.clientWaits() || !m.gate.begin() {
 		logDisconnected(a.req.ID, "unsent")
 		a.release(conn, nil, true)
 		a.finish(dispatch.Cancelled, nil)
 		return nil
 	}
+	defer m.gate.end()
 	if err := a.writeMessage(conn, m); err != nil {
 		a.release(conn, err, false)
 		a.finish(dispatch.ConnectFailed, err)
