weldlab's clients close a connection that never carried a request before the dispatcher

By a trace (bytes and closes with their times at both ends): net/http dials a connection, gets another one first and keeps the new one unused; the dispatcher closes it after 2 s, which it may; the lab, 20 ms late, sends a request on it and reads EOF. A client has to send such a request once more, and net/http does not for a POST.

Change: the lab's clients close an unused connection after 1 s. A request that meets that close has written nothing, and net/http uses another connection.

--- a/internal/realtime/realtime.go
+++ b/internal/realtime/realtime.go
@@ -152,7 +152,7 @@
 	r := &run{options: o, experiment: x, model: fleetmodel.New(x, seed), dir: dir, startTime: time.Now(), tasks: make(chan func(), 65536),
 		lateness: hdrhistogram.New(1, 60e6, 3), workers: map[string]*stubWorker{}}
 	r.ctx, r.stop = context.WithCancel(context.Background())
-	r.httpClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, DisableCompression: true}}
+	r.httpClient = &http.Client{Transport: newClientTransport()}
 	r.callbackClient = &fasthttp.Client{MaxConnsPerHost: 1024, MaxIdemponentCallAttempts: 1, ReadTimeout: 5 * time.Second,
 		NoDefaultUserAgentHeader: true}
 	r.workerServer = &fasthttp.Server{Handler: r.serveHandOff, NoDefaultServerHeader: true, IdleTimeout: time.Duration(x.Network.IdleTimeout) * time.Millisecond,
