weldlab orders hand-offs and answers by when they arrived, not by when it reads them

Change: the kernel tells when bytes arrived (SO_TIMESTAMPNS), for workers' requests the first ones, for clients' answers the last ones, and the checker compares those. A hand-off that left at the same time as the answer or later is reported as before.

--- a/internal/fleetmodel/clients.go
+++ b/internal/fleetmodel/clients.go
@@ -293,9 +293,14 @@
 // Answer is called by the driver when the last byte of a dispatcher's answer leaves. The pause is the advised
 // time before a retry, 0 for no advice.
 func (m *Model) Answer(n int, id string, s Status, body string, pause float64) {
+	m.AnswerAt(m.now, n, id, s, body, pause)
+}
+
+// AnswerAt is Answer for a driver that observes late when the last byte left.
+func (m *Model) AnswerAt(leftAt float64, n int, id string, s Status, body string, pause float64) {
 	d := m.dispatchers[n]
 	r := m.requests[id]
-	m.Checker.Answered(m.now, id, s == Served, s == RetryLater, body)
+	m.Checker.Answered(m.now, leftAt, id, s == Served, s == RetryLater, body)
 	if r == nil || d.openRequests[id] == nil {
 		return
 	}
--- a/internal/fleetmodel/workers.go
+++ b/internal/fleetmodel/workers.go
@@ -184,6 +184,11 @@
 // HandOff is called by the driver when a dispatcher sends a hand-off, of which the first byte leaves now. The
 // result comes through Driver.HandOffEnded.
 func (m *Model) HandOff(n int, id, workerID string, tag any) *HandOff {
+	return m.HandOffAt(m.now, n, id, workerID, tag)
+}
+
+// HandOffAt is HandOff for a driver that observes late when the first byte left.
+func (m *Model) HandOffAt(leftAt float64, n int, id, workerID string, tag any) *HandOff {
 	d, w, r := m.dispatchers[n], m.workersByID[workerID], m.requests[id]
 	h := &HandOff{ID: id, Dispatcher: n, Worker: workerID, Tag: tag, request: r, worker: w, dispatcherIncarnation: d.incarnation, arrival: m.now}
 	hint := 0.
@@ -192,7 +197,7 @@
 		h.Number = r.handOffs
 		r.handOffs++
 	}
-	m.Checker.HandOffSent(m.now, n, id, h.Number, workerID, hint)
+	m.Checker.HandOffSent(m.now, leftAt, n, id, h.Number, workerID, hint)
 	switch {
 	case w == nil || r == nil:
 		m.After(0, func() { m.reportResult(h, ConnectFailed) })
--- a/internal/invariants/cold_budget_test.go
+++ b/internal/invariants/cold_budget_test.go
@@ -22,7 +22,7 @@
 		for k := range holds + 1 {
 			id := fmt.Sprint(k)
 			checker.RequestReceived(1, k%30, id, 0, k, 1e6)
-			checker.HandOffSent(1, k%30, id, 0, "w", mean)
+			checker.HandOffSent(1, 1, k%30, id, 0, "w", mean)
 			if broken := checker.Counts[NoColdOverload] > 0; broken != (k == holds) {
 				t.Fatalf("N %v: violation reported: %v at request %d; %d requests are within the limit", n, broken, k+1, holds)
 			}
--- a/internal/invariants/invariants.go
+++ b/internal/invariants/invariants.go
@@ -113,6 +113,7 @@
 	clientLeft              bool // its client closed the connection
 	dispatcherDied          bool // the process of its dispatcher ended
 	answers                 int
+	answeredAt              float64 // when the last byte of the first answer left
 	resumedAt               float64 // when its dispatcher was last resumed
 	handOffs                []handOff
 }
@@ -243,16 +244,18 @@
 	}
 }
 
-// Answered records that the last byte of an answer left the dispatcher. With mayRetry, the answer says that
-// a retry is harmless.
-func (c *Checker) Answered(at float64, id string, served, mayRetry bool, body string) {
+// Answered records that the last byte of an answer left the dispatcher, at leftAt; an observer that is late
+// records it later. With mayRetry, the answer says that a retry is harmless.
+func (c *Checker) Answered(at, leftAt float64, id string, served, mayRetry bool, body string) {
 	c.Answers++
 	it := c.items[id]
 	if it == nil {
 		c.report(at, NoItemLost, id, -1, "", "answered, but nobody asked")
 		return
 	}
-	it.answers++
+	if it.answers++; it.answers == 1 {
+		it.answeredAt = leftAt
+	}
 	switch {
 	case it.answers > 1:
 		c.report(at, NoItemLost, id, it.dispatcher, "", "answer %d to one request", it.answers)
@@ -293,9 +296,10 @@
 	c.workers[id] = &worker{zone: zone, capacity: capacity, startTime: startTime}
 }
 
-// HandOffSent records that the first byte of hand-off n of a work item left for a worker. The hint is the
-// cost as far as the dispatcher could know it.
-func (c *Checker) HandOffSent(at float64, d int, id string, n int, workerID string, hint float64) {
+// HandOffSent records that the first byte of hand-off n of a work item left for a worker, at leftAt; an observer
+// that is late records it later, perhaps after an answer that left after it. The hint is the cost as far as the
+// dispatcher could know it.
+func (c *Checker) HandOffSent(at, leftAt float64, d int, id string, n int, workerID string, hint float64) {
 	it := c.items[id]
 	if it == nil {
 		c.report(at, NoDoubleEffect, id, d, workerID, "handed off under an id that no client sent")
@@ -307,7 +311,7 @@
 	if n >= c.config.MaxHandOffs {
 		c.report(at, NoDoubleEffect, id, d, workerID, "hand-off %d of at most %d", n+1, c.config.MaxHandOffs)
 	}
-	if it.answers > 0 {
+	if it.answers > 0 && leftAt >= it.answeredAt {
 		c.report(at, NoDoubleEffect, id, d, workerID, "handed off after its answer")
 	}
 	category := c.config.Categories[it.category]
--- a/internal/realtime/client_conn_test.go
+++ b/internal/realtime/client_conn_test.go
@@ -18,7 +18,11 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		return newClientConn(conn)
+		c, err := newClientConn(conn.(*net.TCPConn))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
 	}
 	used, unused := dial(), dial()
 	defer used.Close()
--- a/internal/realtime/realtime.go
+++ b/internal/realtime/realtime.go
@@ -211,6 +211,14 @@
 // unixMillis converts a time of the model to Unix time in milliseconds.
 func (r *run) unixMillis(at float64) float64 { return float64(r.startTime.UnixMicro())/1000 + at }
 
+// modelTime converts a time of the system's clock to the model's; a zero time stands for now.
+func (r *run) modelTime(at time.Time) float64 {
+	if at.IsZero() {
+		return r.now()
+	}
+	return float64(at.Round(0).Sub(r.startTime.Round(0))) / 1e6
+}
+
 // enqueue passes a function to the event loop, which executes it at the current time. It is dropped once the
 // run has ended.
 func (r *run) enqueue(f func()) {
--- a/internal/realtime/stubs.go
+++ b/internal/realtime/stubs.go
@@ -11,6 +11,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -54,7 +55,23 @@
 // trackedConn is a connection that a trackingListener has accepted.
 type trackedConn struct {
 	*net.TCPConn
-	endpoint *endpoint
+	endpoint  *endpoint
+	arrivedAt time.Time // when the first bytes of the request arrived; zero: none did, or it is not known
+}
+
+// Read reads from the connection and records when a request began to arrive.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, arrivedAt, err := readArrived(c.TCPConn, p)
+	if c.arrivedAt.IsZero() {
+		c.arrivedAt = arrivedAt
+	}
+	return n, err
+}
+
+// Write writes to the connection. What arrives afterwards is another request.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.arrivedAt = time.Time{}
+	return c.TCPConn.Write(p)
 }
 
 // Close closes the connection and removes it from its endpoint.
@@ -72,7 +89,8 @@
 		a.run.noteDescriptorError(err)
 		return nil, err
 	}
-	x := &trackedConn{c.(*net.TCPConn), a.endpoint}
+	x := &trackedConn{TCPConn: c.(*net.TCPConn), endpoint: a.endpoint}
+	_ = recordArrivals(x.TCPConn) // without it, a request counts as arrived when it is read
 	a.endpoint.mu.Lock()
 	a.endpoint.conns[x] = true
 	a.endpoint.mu.Unlock()
@@ -205,6 +223,10 @@
 	id := string(ctx.Request.Header.Peek("X-Request-Id"))
 	results := make(chan fleetmodel.HandOffResult, 2)
 	release, receivedAt := string(ctx.Request.Header.Peek("X-Release")), r.now()
+	leftAt := r.now()
+	if c, ok := ctx.Conn().(*trackedConn); ok {
+		leftAt = r.modelTime(c.arrivedAt)
+	}
 	r.enqueue(func() {
 		if previous := d.handOffs[id]; previous != nil {
 			r.model.CancelHandOff(previous) // its connection has ended, otherwise the ID would not be sent again
@@ -212,7 +234,7 @@
 		if r.fleet != nil {
 			r.fleet.recordHandOff(d, id, release, receivedAt)
 		}
-		d.handOffs[id] = r.model.HandOff(d.dispatcher.index, id, d.worker, results)
+		d.handOffs[id] = r.model.HandOffAt(leftAt, d.dispatcher.index, id, d.worker, results)
 	})
 	var result fleetmodel.HandOffResult
 	select {
@@ -413,6 +435,8 @@
 		if err != nil {
 			panic(err) // cannot happen: the address and the names are valid
 		}
+		var conn *clientConn
+		request = request.WithContext(httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn, _ = info.Conn.(*clientConn) }}))
 		request.Header = http.Header{"X-Request-Id": {t.ID}, "X-Deadline": {strconv.FormatFloat(max(remaining, 0)/1000, 'f', 6, 64)}}
 		if j.Hint > 0 {
 			request.Header["X-Cost-Hint"] = []string{strconv.FormatFloat(j.Hint*1000, 'f', 3, 64)}
@@ -429,7 +453,10 @@
 			body, err = io.ReadAll(response.Body)
 			response.Body.Close()
 		}
-		clientLeft := ctx.Err() != nil
+		leftAt, clientLeft := r.now(), ctx.Err() != nil
+		if conn != nil {
+			leftAt = r.modelTime(conn.answerArrivedAt())
+		}
 		r.noteDescriptorError(err)
 		r.enqueue(func() {
 			delete(h.cancelRequest, t.ID)
@@ -438,12 +465,12 @@
 			case err != nil:
 				r.model.ConnectionBroken(t, errors.Is(err, syscall.ECONNREFUSED))
 			case response.StatusCode == http.StatusOK:
-				r.model.Answer(d, t.ID, fleetmodel.Served, string(body), 0)
+				r.model.AnswerAt(leftAt, d, t.ID, fleetmodel.Served, string(body), 0)
 			case slices.Contains([]int{http.StatusTooManyRequests, http.StatusServiceUnavailable}, response.StatusCode):
 				retryAfter, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64) // 0 without the header
-				r.model.Answer(d, t.ID, fleetmodel.RetryLater, "", retryAfter*1000)
+				r.model.AnswerAt(leftAt, d, t.ID, fleetmodel.RetryLater, "", retryAfter*1000)
 			default:
-				r.model.Answer(d, t.ID, fleetmodel.OtherStatus, "", 0)
+				r.model.AnswerAt(leftAt, d, t.ID, fleetmodel.OtherStatus, "", 0)
 			}
 		})
 	})
