--- a/internal/consensus/core.go
+++ b/internal/consensus/core.go
@@ -118,7 +118,7 @@
 	timing           fleet.Timing
 	id               uint64
 	rawNode          *raft.RawNode
-	storage          *raft.MemoryStorage
+	storage          *currentStorage
 	store            Store
 	rng              *rand.Rand
 	state            *fleet.State
@@ -171,8 +171,9 @@
 // returns both the core and the error. Tick then repeats a failed save; after a panic the core stays stopped.
 // With other errors the core is nil.
 func NewCore(timing fleet.Timing, id uint64, persisted PersistedState, store Store, seed uint64, now float64) (c *Core, err error) {
-	c = &Core{timing: timing, id: id, storage: raft.NewMemoryStorage(), store: store, rng: rand.New(rand.NewPCG(seed, id)),
+	c = &Core{timing: timing, id: id, storage: &currentStorage{MemoryStorage: raft.NewMemoryStorage()}, store: store, rng: rand.New(rand.NewPCG(seed, id)),
 		peerContact: map[uint64]float64{}, proposals: map[string][]proposal{}, leaderContact: now - 10*minElectionTimeout}
+	c.storage.core = c
 	defer c.recoverPanic(&err)
 	if c.state, err = fleet.Restore(persisted.Snapshot.GetData()); err != nil {
 		return nil, err
@@ -540,15 +541,16 @@
 }
 
 func (c *Core) applyEntry(e *pb.Entry) {
-	c.appliedIndex = e.GetIndex()
 	if e.GetType() == pb.EntryConfChange {
 		var x pb.ConfChange
 		if err := proto.Unmarshal(e.GetData(), &x); err != nil {
 			panic(err)
 		}
 		c.confState = c.rawNode.ApplyConfChange(&x)
+		c.appliedIndex = e.GetIndex() // a snapshot of this index has the new voters
 		return
 	}
+	c.appliedIndex = e.GetIndex()
 	if e.GetType() != pb.EntryNormal || len(e.GetData()) == 0 {
 		return
 	}
@@ -613,7 +615,7 @@
 
 // compact replaces old entries by a snapshot.
 func (c *Core) compact() {
-	snap, err := c.storage.CreateSnapshot(c.appliedIndex, c.confState, c.state.Snapshot())
+	snap, err := c.storage.Snapshot()
 	if err != nil {
 		panic(err)
 	}
--- a/internal/consensus/node_test.go
+++ b/internal/consensus/node_test.go
@@ -78,6 +78,21 @@
 	}
 }
 
+// reserveVoters returns so many voters with free addresses, and their directories.
+func reserveVoters(t *testing.T, count int) (voters []fleet.Voter, dirs []string) {
+	t.Helper()
+	for k := range count {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		voters = append(voters, fleet.Voter{Name: fmt.Sprint("v", k), Address: l.Addr().String()})
+		dirs = append(dirs, t.TempDir())
+	}
+	return voters, dirs
+}
+
 // testVoter is one voter of a fleet on sockets.
 type testVoter struct {
 	node   *Node
@@ -131,18 +146,7 @@
 		for lost := range count {
 			t.Run(fmt.Sprint(count, " voters, loses ", lost), func(t *testing.T) {
 				t.Parallel()
-				var voters []fleet.Voter
-				var dirs []string
-				for k := range count {
-					l, err := net.Listen("tcp", "127.0.0.1:0")
-					if err != nil {
-						t.Fatal(err)
-					}
-					defer l.Close()
-					voters = append(voters, fleet.Voter{Name: fmt.Sprint("v", k), Address: l.Addr().String()})
-					dirs = append(dirs, t.TempDir())
-					l.Close()
-				}
+				voters, dirs := reserveVoters(t, count)
 				all := make([]testVoter, count)
 				for k := range count {
 					all[k] = startVoter(t, voters[k].Name, voters, dirs[k])
@@ -176,3 +180,92 @@
 		}
 	}
 }
+
+// TestLostFolderAfterReplace guards against a voter that lost its folder after a seat was given anew, and votes as
+// the one it was: the voter with the new seat, or another one.
+func TestLostFolderAfterReplace(t *testing.T) {
+	const replaced = 2
+	serving := []string{"leads", "follows a leader"}
+	for lost := range 3 {
+		t.Run(fmt.Sprint("loses ", lost), func(t *testing.T) {
+			t.Parallel()
+			voters, dirs := reserveVoters(t, 3)
+			all := make([]testVoter, len(voters))
+			start := func() {
+				for k := range all {
+					all[k] = startVoter(t, voters[k].Name, voters, dirs[k])
+				}
+			}
+			stop := func() {
+				for _, v := range all {
+					v.stop()
+				}
+			}
+			start()
+			for _, v := range all {
+				v.awaitStatus(t, serving...)
+			}
+			stop()
+			dirs[replaced] = t.TempDir()
+			start()
+			seat := all[replaced].awaitSeatRequest(t)
+			replaceVoter(t, all, voters[replaced], seat)
+			for _, v := range all {
+				v.awaitSeats(t, len(voters))
+			}
+			stop()
+			dirs[lost] = t.TempDir()
+			start()
+			defer stop()
+			if again := all[lost].awaitSeatRequest(t); lost == replaced && again == seat {
+				t.Error("it asks for the seat that it had")
+			}
+			for k, v := range all {
+				if k != lost {
+					v.awaitStatus(t, serving...)
+				}
+			}
+		})
+	}
+}
+
+// awaitSeatRequest waits until a voter asks for a new seat.
+func (v testVoter) awaitSeatRequest(t *testing.T) (raftID uint64) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if _, raftID = v.node.Status(); raftID != 0 {
+			return raftID
+		}
+	}
+	status, _ := v.node.Status()
+	t.Fatalf("a voter with the status %q asks for no seat", status)
+	return 0
+}
+
+// awaitSeats waits until a voter's raft group has so many members: during a replacement it has one more, and a
+// larger majority.
+func (v testVoter) awaitSeats(t *testing.T, count int) {
+	t.Helper()
+	seats := make(chan int, 1)
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		v.node.post(func() { seats <- len(v.node.core.rawNode.Status().Config.Voters.IDs()) })
+		if <-seats == count {
+			return
+		}
+	}
+	t.Fatalf("the raft group does not have %d members", count)
+}
+
+// replaceVoter gives a voter a new seat, at whichever voter leads.
+func replaceVoter(t *testing.T, all []testVoter, voter fleet.Voter, raftID uint64) {
+	t.Helper()
+	command := fleet.Command{Kind: fleet.AddVoter, RequestID: "seat", Member: voter.Name, Address: voter.Address, RaftID: raftID}
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		for _, v := range all {
+			if reply := v.node.HandleAdmin(context.Background(), fleetrpc.AdminRequest{Command: command}); !reply.NoLeader && reply.Error == "" {
+				return
+			}
+		}
+	}
+	t.Fatal("no leader gave the seat")
+}
