--- a/review/standin-2/frame.go
+++ b/review/standin-2/frame.go
@@ -202,6 +202,8 @@
 		"fence-successor":    fenceSuccessor,
 		"new-zones":          newZones,
 		"pipelined":          pipelined,
+		"reload-slow":        reloadSlow,
+		"upgrade-stop":       upgradeStop,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-2 CASE FOLDER, from the root of the repository")
--- a/review/standin-2/others.go
+++ b/review/standin-2/others.go
@@ -115,3 +115,58 @@
 	}
 	return nil
 }
+
+// reloadSlow: new configurations in quick succession while discovery is slow.
+func reloadSlow(s *stage) error {
+	listen := freeAddr()
+	drains := newWorker(s, "s-1old", listen, "suva", 1, serve(300*time.Millisecond))
+	stays := newWorker(s, "s-2new", listen, "suva", 2, serve(300*time.Millisecond))
+	d := newDiscovery(s, "discovery", drains.member("in_service"), stays.member("in_service"))
+	defer d.close()
+	write := func(credit float64) string {
+		c := config("n0", listen, d.addr, []string{"suva"}, category("thumb", "repeatable", 5, nil))
+		c["settings"].(obj)["excess_credit"] = credit
+		return s.writeJSON("config.json", c)
+	}
+	p, err := s.start("n0", "exec bin/weldmast", "ROUTER_CONFIG="+write(0.5))
+	if err != nil {
+		return err
+	}
+	if err := waitFor("n0 to be ready", 10*time.Second, func() bool { return says200("http://" + listen + "/ready") }); err != nil {
+		return err
+	}
+	time.Sleep(time.Second)
+	d.mu.Lock()
+	d.delay = 2200 * time.Millisecond
+	d.mu.Unlock()
+	began := time.Now()
+	const reloads = 6
+	go func() {
+		for k := 0; s.trouble && k < reloads; k++ {
+			until(began, 2*float64(k))
+			write(0.5 + float64(k)/100)
+			s.signal(p, syscall.SIGHUP)
+		}
+	}()
+	until(began, 0.5)
+	told := time.Now()
+	d.set(drains.member("terminating"))
+	until(told, 7)
+	for k := range 12 {
+		submit(s, listen, "/thumb/a", fmt.Sprintf("e0%014x", k), 4, 0.3)
+		time.Sleep(250 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	drains.mu.Lock()
+	defer drains.mu.Unlock()
+	late := 0
+	for _, j := range drains.attempts {
+		if j.at.Sub(told) > 6550*time.Millisecond {
+			late++
+		}
+	}
+	if late > 0 {
+		s.breaks("%d attempts at %s later than 6.55 s after discovery had that it drains", late, drains.id)
+	}
+	return nil
+}
--- a/review/standin-2/parts.go
+++ b/review/standin-2/parts.go
@@ -27,6 +27,7 @@
 	changed  chan struct{}
 	changes  []obj // of each revision from 2 on
 	watches  int
+	delay    time.Duration // before the first line of an answer
 }
 
 func newDiscovery(s *stage, name string, members ...obj) *discovery {
@@ -87,6 +88,17 @@
 	}
 	out := json.NewEncoder(w)
 	d.mu.Lock()
+	delay := d.delay
+	d.mu.Unlock()
+	if delay > 0 {
+		select {
+		case <-time.After(delay):
+		case <-r.Context().Done():
+			d.s.note("%s: a call was given up before its answer", d.name)
+			return
+		}
+	}
+	d.mu.Lock()
 	list, seen := d.whole(), d.revision
 	d.mu.Unlock()
 	out.Encode(list)
--- a/review/standin-2/upgrades.go
+++ b/review/standin-2/upgrades.go
@@ -134,3 +134,34 @@
 	}
 	return nil
 }
+
+// upgradeStop: the process is replaced, and the new one is told to stop before the old one has ended.
+func upgradeStop(s *stage) error {
+	listen := freeAddr()
+	const id = "1f6d20cc84a9be37"
+	w := newWorker(s, "s-1one", listen, "suva", 1, serve(8*time.Second))
+	d := newDiscovery(s, "discovery", w.member("in_service"))
+	defer d.close()
+	path := s.writeJSON("config.json", config("n0", listen, d.addr, []string{"suva"}, category("thumb", "repeatable", 5, nil), category("order", "once", 10, nil)))
+	p, err := s.dispatcher("old", path)
+	if err != nil {
+		return err
+	}
+	next, err := s.dispatcher("new", path)
+	if err != nil {
+		return err
+	}
+	got := submit(s, listen, "/order/7f3a9c21e0b4d655", id, 10, 1)
+	if err := waitFor("the attempt", 2*time.Second, func() bool { return len(all(id, w)) == 1 }); err != nil {
+		return err
+	}
+	at := s.replace(p)
+	if s.trouble {
+		until(at, 2)
+		s.replace(next) // gets SIGTERM, and SIGKILL 3.7 s later
+	}
+	if a := <-got; a.err != nil {
+		s.breaks("the request %s, taken and at its worker, gets %v", id, a)
+	}
+	return nil
+}
