--- a/review/standin-2/fleets.go
+++ b/review/standin-2/fleets.go
@@ -2,10 +2,12 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -20,6 +22,20 @@
 	return path
 }
 
+// memberFile writes the same file for a member that reaches the voter by a relay.
+func (s *stage) memberFile(file, voterAddr, relayAddr string) string {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		panic(err)
+	}
+	path := filepath.Join(s.tmp, "member.toml")
+	text = fmt.Appendf(text, "via = [\"%s %s\"]\n", voterAddr, relayAddr)
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		panic(err)
+	}
+	return path
+}
+
 // fleet runs an operator's command and returns what it printed.
 func (s *stage) fleet(file string, args ...string) (string, error) {
 	cmd := exec.Command(filepath.Join(s.root, "bin", "weldmast"), append(append([]string{"fleet"}, args...), "--file", file)...)
@@ -113,8 +129,85 @@
 	return nil
 }
 
-// fenceSuccessor: a member's process is replaced; the new one stands still while a version is published with a
-// fence.
+// relay passes connections on to an address. While it swallows, what is sent on connections that began after since
+// goes nowhere, in both directions, and these stay open.
+type relay struct {
+	addr string
+	mu   sync.Mutex
+	held chan struct{} // closed when it passes on again; nil: it does
+	from time.Time
+}
+
+func newRelay(to string) *relay {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	r := &relay{addr: l.Addr().String()}
+	go func() {
+		for {
+			in, err := l.Accept()
+			if err != nil {
+				return
+			}
+			began := time.Now()
+			go func() {
+				defer in.Close()
+				out, err := net.Dial("tcp", to)
+				if err != nil {
+					return
+				}
+				defer out.Close()
+				go func() { r.pass(out, in, began); in.Close() }()
+				r.pass(in, out, began)
+			}()
+		}
+	}()
+	return r
+}
+
+// pass copies from one side to the other, and waits while the relay swallows.
+func (r *relay) pass(from, to net.Conn, began time.Time) {
+	b := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(b)
+		r.mu.Lock()
+		held := r.held
+		if !began.After(r.from) {
+			held = nil
+		}
+		r.mu.Unlock()
+		if held != nil {
+			<-held
+		}
+		if n > 0 {
+			if _, err := to.Write(b[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) swallow(since time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held, r.from = make(chan struct{}), since
+}
+
+func (r *relay) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.held != nil {
+		close(r.held)
+		r.held = nil
+	}
+}
+
+// fenceSuccessor: a member's process is replaced; the newer one's link to the council swallows while a version is
+// published with a fence.
 func fenceSuccessor(s *stage) error {
 	listen, voterListen, voterAddr := freeAddr(), freeAddr(), freeAddr()
 	w := newWorker(s, "s-1one", listen, "suva", 1, nil)
@@ -136,13 +229,15 @@
 	d := newDiscovery(s, "discovery", members...)
 	defer d.close()
 	file := s.fleetFile("v0", voterAddr)
+	link := newRelay(voterAddr)
+	memberFile := s.memberFile(file, voterAddr, link.addr)
 	categories := []obj{category("thumb", "repeatable", 5, nil), category("order", "once", 10, nil)}
 	path := s.writeJSON("config.json", config("n1", listen, d.addr, []string{"suva"}, categories...))
 	voterPath := s.writeJSON("voter.json", config("v0", voterListen, d.addr, []string{"suva"}, categories...))
 	if _, err := s.start("voter", "exec bin/weldmast-voter", "ROUTER_CONFIG="+voterPath, "WELDMAST_FILE="+file); err != nil {
 		return err
 	}
-	p, err := s.dispatcher("old", path, "WELDMAST_FILE="+file)
+	p, err := s.dispatcher("old", path, "WELDMAST_FILE="+memberFile)
 	if err != nil {
 		return err
 	}
@@ -156,8 +251,8 @@
 	if _, err := s.fleet(file, "publish", s.writeJSON("one.json", obj{"mark": "one"}), "--fence", "--wait"); err != nil {
 		return fmt.Errorf("%w: publish: %w", errSetup, err)
 	}
-	next, err := s.dispatcher("new", path, "WELDMAST_FILE="+file)
-	if err != nil {
+	started := time.Now()
+	if _, err := s.dispatcher("new", path, "WELDMAST_FILE="+memberFile); err != nil {
 		return err
 	}
 	time.Sleep(1500 * time.Millisecond) // it has the version in force
@@ -168,7 +263,7 @@
 	}
 	long := submit(s, listen, "/order/7f3a9c21e0b4d655", "c000000000000001", 9, 6)
 	time.Sleep(200 * time.Millisecond)
-	replaced := s.replace(p)
+	s.replace(p)
 	time.Sleep(300 * time.Millisecond)
 	var clients []*keptClient // they keep their connections
 	for k := range 6 {
@@ -182,60 +277,59 @@
 			return fmt.Errorf("%w: a job at the new process gets %v", errSetup, a)
 		}
 	}
-	// The newer process stands still for some 0.2 s, up to six times while the older one answers what it has.
-	for round := 0; round < 6 && time.Since(replaced) < 2300*time.Millisecond; round++ {
-		mark := fmt.Sprint("mark-", round)
-		version := s.writeJSON(mark+".json", obj{"mark": mark})
+	jobs := 0
+	submitAll := func() {
 		var got []<-chan answer
-		submitAll := func() {
-			for k, c := range clients {
-				got = append(got, c.submit("/thumb/c", fmt.Sprintf("d%d%014x", round, k), 4, 0.1))
-			}
-		}
-		stopped := time.Now()
-		if s.trouble {
-			s.signal(next, syscall.SIGSTOP)
-			submitAll()
-		}
-		told := make(chan time.Time, 1) // that the fence is complete
-		go func() {
-			if _, err := s.fleet(file, "publish", version, "--fence", "--wait"); err == nil {
-				told <- time.Now()
-			}
-		}()
-		var complete time.Time
-		select {
-		case complete = <-told:
-			s.note("round %d: the fence was told to be complete %.3f s after the standstill began", round, time.Since(stopped).Seconds())
-		case <-time.After(1500 * time.Millisecond):
-			s.note("round %d: the fence was not told to be complete in 1.5 s", round)
-		}
-		if s.trouble {
-			s.signal(next, syscall.SIGCONT)
-		} else {
-			submitAll()
+		for _, c := range clients {
+			got = append(got, c.submit("/thumb/c", fmt.Sprintf("d%015x", jobs), 4, 0.1))
+			jobs++
 		}
 		for _, g := range got {
 			<-g
 		}
-		if complete.IsZero() {
-			break
+	}
+	swallowed := time.Now()
+	if s.trouble {
+		s.note("the newer process's link to the council swallows")
+		link.swallow(started)
+	}
+	two := s.writeJSON("two.json", obj{"mark": "two"})
+	told := make(chan time.Time, 1) // that the fence is complete
+	go func() {
+		if _, err := s.fleet(file, "publish", two, "--fence", "--wait"); err == nil {
+			told <- time.Now()
 		}
-		for _, w := range workers {
-			w.mu.Lock()
-			for _, j := range w.attempts {
-				if j.at.After(complete) && j.mark != mark {
-					s.breaks("round %d: %s got %s under the version %q, %.3f s after the fence of %q was told to be complete", round, w.id, j.id, j.mark, j.at.Sub(complete).Seconds(), mark)
+	}()
+	var complete time.Time
+	select {
+	case complete = <-told:
+		s.note("the fence was told to be complete after %.3f s", time.Since(swallowed).Seconds())
+	case <-time.After(1500 * time.Millisecond):
+		s.note("the fence was not told to be complete in 1.5 s")
+	}
+	for range 3 {
+		submitAll()
+	}
+	if s.trouble {
+		s.note("the link passes on again, %.3f s later", time.Since(swallowed).Seconds())
+		link.release()
+	}
+	late := 0
+	var last time.Time
+	for _, w := range workers {
+		w.mu.Lock()
+		for _, j := range w.attempts {
+			if !complete.IsZero() && j.at.After(complete) && j.mark == "one" {
+				late++
+				if j.at.After(last) {
+					last = j.at
 				}
 			}
-			w.mu.Unlock()
-		}
-		select {
-		case <-p.done:
-			s.note("the older process has ended")
-			round = 6
-		default:
 		}
+		w.mu.Unlock()
+	}
+	if late > 0 {
+		s.breaks("%d hand-offs under the older version after the fence was told to be complete, the last %.3f s later", late, last.Sub(complete).Seconds())
 	}
 	<-long
 	return nil
--- a/review/standin-2/frame.go
+++ b/review/standin-2/frame.go
@@ -6,12 +6,14 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"sync"
 	"syscall"
@@ -129,14 +131,52 @@
 	time.Sleep(time.Until(from.Add(time.Duration(seconds * float64(time.Second)))))
 }
 
-// freeAddr returns a loopback address with a free port.
+var (
+	portMu sync.Mutex
+	ports  = map[int]bool{}
+)
+
+// freeAddr returns a loopback address with a free port, each once. It is below the ports that the system gives to
+// outgoing connections, so that none of these takes it before the program listens there.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	portMu.Lock()
+	defer portMu.Unlock()
+	for {
+		port := 16000 + rand.IntN(16000)
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		if ports[port] {
+			continue
+		}
+		ports[port] = true
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
+	}
+}
+
+var runLine = regexp.MustCompile(`(?m)^run = "(.*)"$`)
+
+// deployRun returns the command by which the operators start a dispatcher.
+func (s *stage) deployRun() (string, error) {
+	text, err := os.ReadFile(filepath.Join(s.root, "deploy", "balancer.toml"))
 	if err != nil {
-		panic(err)
+		return "", fmt.Errorf("%w: %w", errSetup, err)
+	}
+	found := runLine.FindSubmatch(text)
+	if found == nil {
+		return "", fmt.Errorf("%w: deploy/balancer.toml has no run", errSetup)
+	}
+	return string(found[1]), nil
+}
+
+// startRun starts a dispatcher by that command.
+func (s *stage) startRun(name string, env ...string) (*process, error) {
+	command, err := s.deployRun()
+	if err != nil {
+		return nil, err
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return s.start(name, command, env...)
 }
 
 // says200 reports whether a GET of the URL is answered by 200.
--- a/review/standin-2/others.go
+++ b/review/standin-2/others.go
@@ -32,7 +32,7 @@
 	defer d.close()
 	kind := category("stock", "by_key", 5, obj{"group": "zone", "window": 4000000})
 	path := s.writeJSON("config.json", config("n0", listen, d.addr, []string{"suva"}, kind))
-	p, err := s.start("n0", "exec bin/weldmast", "ROUTER_CONFIG="+path)
+	p, err := s.startRun("n0", "ROUTER_CONFIG="+path)
 	if err != nil {
 		return err
 	}
@@ -70,7 +70,7 @@
 	d := newDiscovery(s, "discovery", members...)
 	defer d.close()
 	path := s.writeJSON("config.json", config("n0", listen, d.addr, []string{"suva"}, category("thumb", "repeatable", 5, nil)))
-	if _, err := s.start("n0", "exec bin/weldmast", "ROUTER_CONFIG="+path); err != nil {
+	if _, err := s.startRun("n0", "ROUTER_CONFIG="+path); err != nil {
 		return err
 	}
 	if err := waitFor("n0 to be ready", 10*time.Second, func() bool { return says200("http://" + listen + "/ready") }); err != nil {
@@ -128,7 +128,7 @@
 		c["settings"].(obj)["excess_credit"] = credit
 		return s.writeJSON("config.json", c)
 	}
-	p, err := s.start("n0", "exec bin/weldmast", "ROUTER_CONFIG="+write(0.5))
+	p, err := s.startRun("n0", "ROUTER_CONFIG="+write(0.5))
 	if err != nil {
 		return err
 	}
--- a/review/standin-2/upgrades.go
+++ b/review/standin-2/upgrades.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// upgrade replaces a process by another one, as DAYS has it, and returns the time of its SIGTERM.
+// replace replaces a process by another one, as DAYS has it, and returns the time of its SIGTERM.
 func (s *stage) replace(old *process) time.Time {
 	at := time.Now()
 	s.signal(old, syscall.SIGTERM)
@@ -23,7 +23,7 @@
 // dispatcher starts a dispatcher by the deploy file's run, and waits until it says that it can serve.
 func (s *stage) dispatcher(name, configPath string, env ...string) (*process, error) {
 	ops := freeAddr()
-	p, err := s.start(name, "exec bin/weldmast", append([]string{"ROUTER_CONFIG=" + configPath, "ROUTER_OPS=" + ops, "TMPDIR=" + s.tmp}, env...)...)
+	p, err := s.startRun(name, append([]string{"ROUTER_CONFIG=" + configPath, "ROUTER_OPS=" + ops, "TMPDIR=" + s.tmp}, env...)...)
 	if err != nil {
 		return nil, err
 	}
