--- a/review/standin-2/frame.go
+++ b/review/standin-2/frame.go
@@ -14,6 +14,7 @@
 	"os/signal"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strings"
 	"sync"
 	"syscall"
@@ -59,6 +60,17 @@
 	s.broken = append(s.broken, text)
 }
 
+// starts takes what starts a process. It runs on a thread that lasts as long as this program: the system kills the
+// processes when that thread ends, also if this program is killed.
+var starts = make(chan func())
+
+func runStarts() {
+	runtime.LockOSThread()
+	for start := range starts {
+		start()
+	}
+}
+
 // start starts a program by a shell from the root, as the platform does.
 func (s *stage) start(name, command string, env ...string) (*process, error) {
 	p := &process{name: name, done: make(chan struct{}), log: filepath.Join(s.tmp, name+".log")}
@@ -75,7 +87,10 @@
 		}
 	}
 	p.cmd.Env = append(p.cmd.Env, env...)
-	if err := p.cmd.Start(); err != nil {
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	started := make(chan error)
+	starts <- func() { started <- p.cmd.Start() }
+	if err := <-started; err != nil {
 		return nil, err
 	}
 	go func() { p.cmd.Wait(); close(p.done) }()
@@ -274,6 +289,7 @@
 	s.note("trouble: %v", s.trouble)
 	ended, stop := make(chan error, 1), make(chan os.Signal, 1)
 	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	go runStarts()
 	go func() { ended <- run(s) }()
 	select {
 	case err = <-ended:
