A job that ends at an unlisted worker does not crash a process that took it over

Seen by callers: the newer process of a replacement ended with "slice bounds out of range [:2] with capacity 0" once a job ended whose worker had left its list, and every client's connection with it (siblings of at least 2, peers allowed).

Cause: Adopt stood in for such a worker by a value without the dispatchers that share it, which are told of the end. A worker that came back to the list was also another one than the stand-in, since workers were compared by pointer: it could get work a second time that it may still run.

Change: the worker is added like any other, as one that has left the list, and workers are compared by id.

Evidence: TestAdoptFromUnlistedWorker panics and TestWorkerListedAgain fails on; both pass now, with the rest of internal/dispatch (traces unchanged).

--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -427,7 +427,7 @@
 // or if most work that fails once fails again. This guards against sending work that no worker can do to one
 // worker after another.
 func (d *Dispatcher) attributeFailure(it *item, w *worker) {
-	if it.failedOn != nil && it.failedOn != w {
+	if it.failedOn != nil && !it.failedOn.same(w) {
 		it.failsAnywhere = true
 		it.failedOn.failures, it.failedOn.workFailures, it.failedOn.ejectedUntil, it.failedOn.suspectedUntil = 0, 0, 0, 0
 		return
@@ -829,7 +829,7 @@
 	if d.readinessOf(w) < d.minReadiness || it.cat.Kind >= 0 && it.cat.Kind != w.Kind {
 		return false
 	}
-	if n := len(it.handOffs); n > 0 && it.handOffs[n-1].worker == w { // The previous hand-off failed or waited there.
+	if n := len(it.handOffs); n > 0 && it.handOffs[n-1].at(w) { // The previous hand-off failed or waited there.
 		return false
 	}
 	trial := w.failures > 0 // A trial may cost exclusive work its one effect.
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -244,7 +244,8 @@
 	for _, t := range handOffs {
 		w := d.byID[t.Worker]
 		if w == nil { // Not listed here: its hand-off is outstanding, and nothing more is sent to it.
-			w = &worker{Entry: Entry{Worker: t.Worker, Kind: len(d.kinds) - 1, State: Gone}, minStartGap: math.Inf(1)}
+			w = d.addWorker(t.Worker)
+			w.Entry = Entry{Worker: t.Worker, Kind: len(d.kinds) - 1, State: Gone}
 		}
 		h := handoff{worker: w, sentAt: t.Sent, lastNoticeAt: d.now, startedAt: -1, load: d.knownLoad(w) + 1, peerView: d.peerView, done: t.Done,
 			provenNotRun: t.Unrun, mayStillRun: t.MayStillRun}
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -203,9 +203,15 @@
 // mayBeAt reports whether an earlier hand-off may still be at the worker. A worker gets one hand-off of a
 // work item at a time, even where second copies are allowed.
 func (it *item) mayBeAt(w *worker) bool {
-	return slices.ContainsFunc(it.handOffs, func(h handoff) bool { return h.worker == w && (!h.done || h.mayStillRun) })
+	return slices.ContainsFunc(it.handOffs, func(h handoff) bool { return h.at(w) && (!h.done || h.mayStillRun) })
 }
 
+// at reports whether the worker got the hand-off.
+func (h *handoff) at(w *worker) bool { return h.worker.same(w) }
+
+// same reports whether both are the same worker: one that left the list and came back is.
+func (w *worker) same(o *worker) bool { return w.Worker == o.Worker }
+
 // setCounter moves the hand-off from the counter that includes it to another, or to none for nil.
 func (h *handoff) setCounter(counter *int) {
 	if h.counter != nil {
@@ -415,7 +421,7 @@
 func (d *Dispatcher) recordFailure(it *item, w *worker, failed float64) {
 	rate := &d.failureRate
 	if it.failedOn != nil {
-		if rate = &d.refailRate; it.failedOn == w {
+		if rate = &d.refailRate; it.failedOn.same(w) {
 			return
 		}
 	}
