A repeat goes only where the earlier worker's zone or cell is known and the same

Cause: the place of a hand-off's worker, which decides who drops a repeat, was looked up when the repeat was decided.

Change: each hand-off keeps its worker's place by value, the zone by its name, and takes it along to a newer process. A place that is not known equals nothing. From an older process, which says no place, the list's entry stands in where the worker was not started since.

TestNoDuplicateEffect names the zones of its workers, which it gave as positions; its trace is unchanged.

--- a/cmd/weldmast/main_test.go
+++ b/cmd/weldmast/main_test.go
@@ -344,9 +344,12 @@
 	}
 }
 
-func memberEntry(id, addr, phase string) string {
-	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":"here","flavor":"twin","cell":0,"phase":%q,"size":1.0,"up_since_ms":0}`,
-		id, addr, phase)
+func memberEntry(id, addr, phase string) string { return memberEntryAt(id, addr, phase, "here", 0) }
+
+// memberEntryAt is memberEntry for a worker of another zone or cell.
+func memberEntryAt(id, addr, phase, zone string, cell int) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":%q,"locality":%q,"flavor":"twin","cell":%d,"phase":%q,"size":1.0,"up_since_ms":0}`,
+		id, addr, zone, cell, phase)
 }
 
 func memberList(revision int, complete bool, lines ...string) string {
--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -455,6 +455,33 @@
 	}
 }
 
+// TestUpgradeWorkerLeaves guards against a worker that leaves the list during a replacement being taken for
+// one of cell 0: the newer process sent its work there, and a marked job had its effect in two cells.
+func TestUpgradeWorkerLeaves(t *testing.T) {
+	t.Parallel()
+	e := newTakeoverEnv(t)
+	e.swap = [2]string{`{"name":"order","semantics":"once",`, `{"name":"order","semantics":"by_key","group":"cell","window":5000000,`}
+	addr := e.startWorker("w1", nil)
+	e.publish(memberList(1, true, memberEntryAt("w1", addr, "in_service", "here", 3)))
+	e.launch()
+	e.awaitReady()
+	c := e.dial()
+	io.WriteString(c, request("a", "/order/x", ""))
+	e.awaitLine("w1: a", 1)
+	e.callback("a", "w1", "started", "")
+	older := e.startSuccessor()
+	e.publish(memberList(2, false, memberEntryAt("w2", e.finishingWorker("w2"), "in_service", "here", 0)))
+	e.must(older.Process.Signal(syscall.SIGTERM))
+	e.publish(memberList(3, false, memberEntryAt("w1", addr, "terminated", "here", 3)))
+	e.awaitLog("job handed over", 1)
+	e.callback("a", "w1", "lost", "")
+	if got := c.answer(); !strings.HasPrefix(got, "502") {
+		t.Errorf("answer: %s", got)
+	}
+	e.dropLines("watch after")
+	e.checkSeen("w1: a")
+}
+
 // TestUpgradeBounds checks that while two processes run, each uses at most half of the descriptors, even
 // during a flood, and that the remaining process uses all of them again.
 func TestUpgradeBounds(t *testing.T) {
--- a/internal/dispatch/dispatch.go
+++ b/internal/dispatch/dispatch.go
@@ -743,7 +743,7 @@
 func (d *Dispatcher) drawWorker(it *item, lane int, ownZone, allowSuspected bool) *worker {
 	d.eligible = d.eligible[:0]
 	fits := func(w *worker) bool {
-		return d.kinds[w.Kind].lane == lane && (!ownZone || w.Zone == d.params.zone) &&
+		return d.kinds[w.Kind].lane == lane && (!ownZone || d.inOwnZone(w)) &&
 			(allowSuspected || !d.suspected(w)) && d.mayDraw(it, w)
 	}
 	if it.keyHash != 0 {
@@ -863,9 +863,11 @@
 		if h.provenNotRun {
 			continue
 		}
-		if it.cat.Repeat == Exclusive || d.now-h.sentAt > it.cat.DedupWindow || w != nil &&
-			(it.cat.DedupScope == DedupZone && h.worker.Zone != w.Zone ||
-				it.cat.DedupScope == DedupCell && h.worker.Cell != w.Cell) {
+		next := h.place
+		if w != nil {
+			next = w.Place()
+		}
+		if it.cat.Repeat == Exclusive || d.now-h.sentAt > it.cat.DedupWindow || !next.recognises(h.place, it.cat.DedupScope) {
 			return false
 		}
 	}
@@ -901,7 +903,7 @@
 	}
 	w.recentCost.add(d.now, d.params.overloadWindow, max(it.Hint, d.meanHint))
 	w.lastHandOff, w.unlistedFactor = d.now, max(w.unlistedFactor/2, minUnlistedFactor)
-	h := handoff{worker: w, sentAt: d.now, lastNoticeAt: d.now, startedAt: -1, load: d.knownLoad(w) + 1, peerView: d.peerView}
+	h := handoff{worker: w, place: w.Place(), sentAt: d.now, lastNoticeAt: d.now, startedAt: -1, load: d.knownLoad(w) + 1, peerView: d.peerView}
 	if h.setCounter(&w.waiting); !d.params.startNotices {
 		h.startedAt = d.now
 		h.setCounter(&w.running)
--- a/internal/dispatch/dispatch_test.go
+++ b/internal/dispatch/dispatch_test.go
@@ -137,7 +137,7 @@
 	tr.at(5100, func(*Dispatcher) {})
 	tr.comment("ticketed, known in one zone: sent again there only")
 	tr.at(5200, func(d *Dispatcher) {
-		d.Listed(ListComplete, []Entry{{Worker: "f3", Zone: 0}, {Worker: "f4", Zone: 1}, {Worker: "f6", Zone: 0}})
+		d.Listed(ListComplete, []Entry{{Worker: "f3", ZoneName: "a"}, {Worker: "f4", Zone: 1, ZoneName: "b"}, {Worker: "f6", ZoneName: "a"}})
 	})
 	tr.arrive(3, 2, 100)
 	tr.at(tr.now+5, func(*Dispatcher) { tr.end(3, 0, ConnReset) })
--- a/internal/dispatch/interface.go
+++ b/internal/dispatch/interface.go
@@ -142,13 +142,41 @@
 // Entry is one worker in a listing from discovery. It travels as JSON to the next process: its fields keep
 // their names.
 type Entry struct {
-	Worker string
-	Zone   int
-	Kind   int
-	Cell   int
-	State  WorkerState
-	Since  float64 // Time of its last start, on the clock of Round; 0: long ago.
-	Weight float64 // Listed capacity relative to other workers; 0: none.
+	Worker   string
+	Zone     int    // Position in this process's settings; -1: they do not name the worker's zone.
+	ZoneName string // As listed; empty: unknown.
+	Kind     int
+	Cell     int // UnknownCell: unknown.
+	State    WorkerState
+	Since    float64 // Time of its last start, on the clock of Round; 0: long ago.
+	Weight   float64 // Listed capacity relative to other workers; 0: none.
+}
+
+// UnknownCell stands for the cell of a worker that is listed without one.
+const UnknownCell = -1
+
+// Place says which workers share a worker's memory of repeats. It does not depend on any process's settings.
+type Place struct {
+	Zone string // Name of the zone; empty: unknown.
+	Cell int    // UnknownCell: unknown.
+}
+
+// UnknownPlace shares nothing with any place, itself included.
+var UnknownPlace = Place{Cell: UnknownCell}
+
+// Place returns where the worker is.
+func (e Entry) Place() Place { return Place{Zone: e.ZoneName, Cell: e.Cell} }
+
+// recognises reports whether workers at this place drop repeats of ticketed work that workers at the other
+// place got. What is unknown recognises nothing: it may be anywhere.
+func (p Place) recognises(other Place, scope DedupScope) bool {
+	switch scope {
+	case DedupZone:
+		return p.Zone != "" && p.Zone == other.Zone
+	case DedupCell:
+		return p.Cell != UnknownCell && p.Cell == other.Cell
+	}
+	return true
 }
 
 // ListType says what a listing contains.
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -220,6 +220,7 @@
 // Taken is a hand-off that another process made, taken over by this one.
 type Taken struct {
 	Worker  string
+	Place   *Place `json:",omitempty"` // Of the worker when it got the hand-off; nil: an older version did not say.
 	Sent    float64
 	Started float64 // 0: not known to have started.
 	Done    bool
@@ -228,6 +229,18 @@
 	MayStillRun bool
 }
 
+// placeOf returns where the worker of a hand-off was. If the other process did not say, the list tells, unless
+// the worker has been started since: it may be elsewhere.
+func (d *Dispatcher) placeOf(t Taken) Place {
+	if t.Place != nil {
+		return *t.Place
+	}
+	if w := d.byID[t.Worker]; w != nil && w.Since <= t.Sent {
+		return w.Place()
+	}
+	return UnknownPlace
+}
+
 // Adopt takes over a work item with its hand-offs, in the order in which they were made. Outstanding ones
 // count as load, and are checked and moved like any other. The due time is not known, so the item may use all
 // of the client's time.
@@ -242,12 +255,12 @@
 		remember(&d.recentKeys, &d.keysTotal, it.keyHash)
 	}
 	for _, t := range handOffs {
-		w := d.byID[t.Worker]
+		w, place := d.byID[t.Worker], d.placeOf(t)
 		if w == nil { // Not listed here: its hand-off is outstanding, and nothing more is sent to it.
 			w = d.addWorker(t.Worker)
-			w.Entry = Entry{Worker: t.Worker, Kind: len(d.kinds) - 1, State: Gone}
+			w.Entry = Entry{Worker: t.Worker, Zone: -1, ZoneName: place.Zone, Cell: place.Cell, Kind: len(d.kinds) - 1, State: Gone}
 		}
-		h := handoff{worker: w, sentAt: t.Sent, lastNoticeAt: d.now, startedAt: -1, load: d.knownLoad(w) + 1, peerView: d.peerView, done: t.Done,
+		h := handoff{worker: w, place: place, sentAt: t.Sent, lastNoticeAt: d.now, startedAt: -1, load: d.knownLoad(w) + 1, peerView: d.peerView, done: t.Done,
 			provenNotRun: t.Unrun, mayStillRun: t.MayStillRun}
 		if !h.provenNotRun {
 			it.mayHaveRun++
--- a/internal/dispatch/pools.go
+++ b/internal/dispatch/pools.go
@@ -41,7 +41,7 @@
 	}
 	at := make([]int, 2*len(d.kinds)) // Index in d.pools plus one; 0: no pool yet.
 	for _, w := range d.candidates {
-		near := w.Zone == d.params.zone
+		near := d.inOwnZone(w)
 		k := 2 * w.Kind
 		if near {
 			k++
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -187,6 +187,7 @@
 // handoff (ho) is one hand-off of a work item to a worker.
 type handoff struct {
 	worker       *worker
+	place        Place // Of the worker when it got the hand-off; a later listing may have it elsewhere.
 	sentAt       float64
 	startedAt    float64 // Below 0: not known to have started.
 	lastNoticeAt float64 // Time of the last notice, or of the hand-off.
@@ -209,6 +210,9 @@
 // at reports whether the worker got the hand-off.
 func (h *handoff) at(w *worker) bool { return h.worker.same(w) }
 
+// inOwnZone reports whether the worker is in this dispatcher's zone. No worker is if that has no name.
+func (d *Dispatcher) inOwnZone(w *worker) bool { return w.Zone >= 0 && w.Zone == d.params.zone }
+
 // same reports whether both are the same worker: one that left the list and came back is.
 func (w *worker) same(o *worker) bool { return w.Worker == o.Worker }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -311,6 +311,7 @@
 // handOff is one hand-off as the event loop knows it.
 type handOff struct {
 	worker      string
+	place       *dispatch.Place // of the worker when it got the hand-off; nil: not known
 	sentAt      float64
 	attempt     Attempt
 	ended       bool
@@ -379,9 +380,9 @@
 	usedIDs           [2]map[string]bool // IDs of work items that ran or may have run; the newer generation first
 	usedRotateAt      float64            // the newer generation becomes the older one at this time
 	longestExpiry     float64            // a client may legitimately repeat a request within this time
-	addrs             map[string]string
-	lastAnswer        float64 // time of the last answer to a client
-	open              int     // work items whose client waits
+	members           map[string]Member  // workers that can be reached, as last listed
+	lastAnswer        float64            // time of the last answer to a client
+	open              int                // work items whose client waits
 	lastWI            uint64
 	timers            timerQueue
 	rngState          uint64
@@ -447,7 +448,7 @@
 	s := o.Settings
 	n := &Node{settings: s, maxOpen: o.MaxOpen, clientLimit: math.MaxInt, decider: o.Decider, queue: make(chan any, queueSize),
 		stopped: make(chan struct{}), clock: o.Clock, log: o.Log, items: map[uint64]*workItem{},
-		byID: map[string]*workItem{}, addrs: map[string]string{}, rngState: s.Seed>>32 | 1, lastRound: math.Inf(-1),
+		byID: map[string]*workItem{}, members: map[string]Member{}, rngState: s.Seed>>32 | 1, lastRound: math.Inf(-1),
 		nextWatchAt: math.Inf(1), discoveryAddr: o.Discovery, revision: FullList, metrics: o.Metrics, guard: o.Guard, mark: o.Mark}
 	if n.decider == nil {
 		n.decider = dispatch.New(s)
@@ -461,7 +462,7 @@
 	for _, c := range s.Categories {
 		n.longestExpiry = max(n.longestExpiry, c.Expiry)
 	}
-	n.updateAddrs(o.CachedList.Members)
+	n.updateMembers(o.CachedList.Members)
 	n.inbox = append(n.inbox, listUpdate{dispatch.ListRestored, o.CachedList.Members})
 	return n
 }
@@ -879,7 +880,7 @@
 		req := it.request
 		j := &Job{ID: req.ID, Category: req.Category, Tenant: req.Tenant, Hint: req.Hint, Key: req.Key, Expiry: req.Expiry}
 		for _, h := range it.handOffs {
-			j.HandOffs = append(j.HandOffs, JobHandOff{Addr: h.addr, Never: h.noCallback, Taken: dispatch.Taken{Worker: h.worker,
+			j.HandOffs = append(j.HandOffs, JobHandOff{Addr: h.addr, Never: h.noCallback, Taken: dispatch.Taken{Worker: h.worker, Place: h.place,
 				Sent: h.sentAt, Started: h.startedAt, Done: h.ended, Unrun: h.provenUnrun, MayStillRun: h.mayStillRun}})
 		}
 		n.log.Info("takeover", "takeover", "job handed over", "id", req.ID, "out", it.outstanding)
@@ -901,7 +902,7 @@
 	n.open++
 	n.schedule(it.deadline()+n.settings.AnswerSlack, it.wi, -1)
 	for k, t := range j.HandOffs {
-		h := handOff{worker: t.Worker, sentAt: t.Sent, ended: t.Done, noCallback: t.Never, provenUnrun: t.Unrun, mayStillRun: t.MayStillRun, startedAt: t.Started, addr: t.Addr}
+		h := handOff{worker: t.Worker, place: t.Place, sentAt: t.Sent, ended: t.Done, noCallback: t.Never, provenUnrun: t.Unrun, mayStillRun: t.MayStillRun, startedAt: t.Started, addr: t.Addr}
 		if !h.ended {
 			it.outstanding++
 			h.attempt = n.transport.AdoptHandOff(HandOffRequest{WI: it.wi, HO: k, ID: req.ID, Addr: t.Addr, Message: req.Message,
@@ -931,7 +932,7 @@
 		d.MarkReplaced()
 	}
 	for _, w := range state.Learned.Workers {
-		state.Members = append(state.Members, Member{w.Entry, n.addrs[w.Worker]})
+		state.Members = append(state.Members, Member{w.Entry, n.members[w.Worker].Addr})
 	}
 	return state
 }
@@ -944,9 +945,9 @@
 	}
 	if len(state.Members) > 0 && (!n.discoveryAnswered || state.Discovery == n.discoveryAddr && state.Revision > n.revision) {
 		if !n.settings.OnlyDrainingBinds {
-			clear(n.addrs)
+			clear(n.members)
 		}
-		n.updateAddrs(state.Members)
+		n.updateMembers(state.Members)
 		n.inbox = append(n.inbox, listUpdate{dispatch.ListRestored, state.Members})
 	}
 	n.inbox = append(n.inbox, state.Learned)
@@ -954,13 +955,13 @@
 		"ids", len(state.Used))
 }
 
-func (n *Node) updateAddrs(members []Member) {
+func (n *Node) updateMembers(members []Member) {
 	for _, m := range members {
 		switch {
 		case m.State != dispatch.Gone:
-			n.addrs[m.Worker] = m.Addr
+			n.members[m.Worker] = m
 		case !n.settings.OnlyDrainingBinds: // otherwise the worker may still get work at its last address
-			delete(n.addrs, m.Worker)
+			delete(n.members, m.Worker)
 		}
 	}
 }
@@ -976,7 +977,7 @@
 	form := dispatch.ListChanges
 	if l.Complete {
 		if form = dispatch.ListComplete; !n.settings.OnlyDrainingBinds {
-			clear(n.addrs)
+			clear(n.members)
 		}
 	}
 	// Guards against updates out of order: an outdated one must not put a worker back into service that a
@@ -986,7 +987,7 @@
 		n.log.Warn("list", "older", l.Revision, "known", n.revision)
 		l.Revision, l.Members = FullList, slices.DeleteFunc(slices.Clone(l.Members), func(m Member) bool { return m.State != dispatch.Draining })
 	}
-	n.updateAddrs(l.Members)
+	n.updateMembers(l.Members)
 	n.revision = l.Revision
 	n.discoveryAnswered = true
 	hasNews := l.Complete || len(l.Members) > 0
@@ -1094,7 +1095,7 @@
 	}
 	switch n.Phase() {
 	case Starting:
-		if n.discoveryAnswered || len(n.addrs) > 0 && n.now >= n.startedAt+cachedListDelay {
+		if n.discoveryAnswered || len(n.members) > 0 && n.now >= n.startedAt+cachedListDelay {
 			n.setPhase(Serving)
 		}
 	case Draining:
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -103,9 +103,9 @@
 	if timeout <= 0 || timeout > remaining {
 		timeout = remaining
 	}
+	member, known := n.members[worker]
 	it.handOffs = append(it.handOffs, handOff{worker: worker, sentAt: n.now, noCallback: true})
 	it.outstanding++
-	addr, known := n.addrs[worker]
 	switch {
 	case it.answered || remaining <= 0 || ho >= n.settings.MaxHandOffs:
 		n.handOffEnded(it, ho, dispatch.NotSent, "")
@@ -114,8 +114,9 @@
 	case !n.mayTakeWork(): // queued work is given up in the next round
 		n.handOffEnded(it, ho, dispatch.NotSent, "")
 	default:
-		it.handOffs[ho].noCallback, it.handOffs[ho].addr = false, addr
-		it.handOffs[ho].attempt = n.transport.Send(HandOffRequest{WI: wi, HO: ho, ID: it.request.ID, Addr: addr,
+		place := member.Place()
+		it.handOffs[ho].noCallback, it.handOffs[ho].addr, it.handOffs[ho].place = false, member.Addr, &place
+		it.handOffs[ho].attempt = n.transport.Send(HandOffRequest{WI: wi, HO: ho, ID: it.request.ID, Addr: member.Addr,
 			Message: it.request.Message, Timeout: timeout, Mark: n.mark})
 		n.recordAction(fleet.HandedOff)
 		n.schedule(n.now+timeout, wi, ho)
--- a/internal/simwire/simwire.go
+++ b/internal/simwire/simwire.go
@@ -247,7 +247,7 @@
 		}
 		r := listEntry{worker: string(m.required("worker")), zone: string(m.optional("locality")),
 			kind: string(m.optional("machine"))}
-		r.entry = dispatch.Entry{Worker: r.worker, Cell: int(m.intOr("stripe", 0)),
+		r.entry = dispatch.Entry{Worker: r.worker, ZoneName: r.zone, Cell: int(m.intOr("stripe", dispatch.UnknownCell)),
 			Since: m.timeOr("up_since", 0), Weight: m.numOr("rating", 0)}
 		switch state := string(m.required("state")); state {
 		case "up":
--- a/internal/transport/discovery.go
+++ b/internal/transport/discovery.go
@@ -72,7 +72,7 @@
 	HostPort string `json:"host_port"`
 	Locality string
 	Flavor   string
-	Cell     int
+	Cell     *int
 	Phase    string
 	UpSince  float64 `json:"up_since_ms"`
 	Size     float64
@@ -90,8 +90,12 @@
 	if _, err := netip.ParseAddrPort(in.HostPort); err != nil && state != dispatch.Gone {
 		return m, fmt.Errorf("host_port: %w", err)
 	}
-	return node.Member{Addr: in.HostPort, Entry: dispatch.Entry{Worker: in.ID, State: state, Cell: in.Cell,
-		Zone: slices.Index(names.Zones, in.Locality), Kind: slices.Index(names.Kinds, in.Flavor),
+	cell := dispatch.UnknownCell
+	if in.Cell != nil && *in.Cell >= 0 {
+		cell = *in.Cell
+	}
+	return node.Member{Addr: in.HostPort, Entry: dispatch.Entry{Worker: in.ID, State: state, Cell: cell,
+		Zone: slices.Index(names.Zones, in.Locality), ZoneName: in.Locality, Kind: slices.Index(names.Kinds, in.Flavor),
 		Since: in.UpSince, Weight: max(in.Size, 0)}}, nil
 }
 
--- a/internal/virtualtime/virtualtime.go
+++ b/internal/virtualtime/virtualtime.go
@@ -205,7 +205,7 @@
 		if m.StartTime >= 0 {
 			since = epoch + m.StartTime
 		}
-		list[k] = node.Member{Entry: dispatch.Entry{Worker: m.ID, Zone: m.Site, Kind: m.Kind, State: m.State, Since: since},
+		list[k] = node.Member{Entry: dispatch.Entry{Worker: m.ID, Zone: m.Site, ZoneName: fleetmodel.SiteName(m.Site), Kind: m.Kind, State: m.State, Since: since},
 			Addr: m.ID}
 	}
 	return list
