A job that goes over keeps its category by name and its promises by value

Cause: category, tenant and kind went over as positions in the older process's settings and were read in the newer one's.

Change: they go over by name, and the category as it was configured where the job was accepted goes with them; the newer process keeps to it. A job of an older version names nothing, and its position counts as before.

TestHandedOverMayStillRun runs with one category configured: a job has one by definition.

--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -482,6 +482,49 @@
 	e.checkSeen("w1: a")
 }
 
+// TestUpgradeOtherCategories guards against a job being taken over by the position of its category: where the
+// newer process has other categories, a job that must never run twice did, or its client got no answer.
+func TestUpgradeOtherCategories(t *testing.T) {
+	const plan = `{"name":"plan","semantics":"repeatable","due_time":2000000,"expiry":5000000,"credit":1.0}`
+	const order = `{"name":"order","semantics":"once",`
+	for name, swap := range map[string][2]string{
+		"one more before it": {plan, `{"name":"archive","semantics":"repeatable","due_time":2000000,"expiry":5000000,"credit":1.0},` + plan},
+		"without it":         {order, `{"name":"other","semantics":"repeatable",`},
+		"other semantics":    {order, `{"name":"order","semantics":"repeatable",`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			e := newTakeoverEnv(t)
+			e.publish(memberList(1, true, memberEntry("w1", e.startWorker("w1", nil), "in_service")))
+			e.launch()
+			e.awaitReady()
+			lost, done := e.dial(), e.dial()
+			for id, c := range map[string]*client{"lost": lost, "done": done} {
+				io.WriteString(c, request(id, "/order/x", ""))
+				e.awaitLine("w1: "+id, 1)
+				e.callback(id, "w1", "started", "")
+			}
+			e.swap = swap
+			older := e.startSuccessor()
+			e.publish(memberList(2, false, memberEntry("w2", e.finishingWorker("w2"), "in_service")))
+			e.must(older.Process.Signal(syscall.SIGTERM))
+			e.awaitLog("job handed over", 2)
+			e.callback("lost", "w1", "lost", "")
+			e.callback("done", "w1", "done", "once")
+			if got := lost.answer(); !strings.HasPrefix(got, "502") {
+				t.Errorf("the job that was lost: %s", got)
+			}
+			if got := done.answer(); got != "200 once" {
+				t.Errorf("the job that was done: %s", got)
+			}
+			if e.mu.Lock(); strings.Contains(e.seen.String(), "w2: ") {
+				t.Errorf("a second attempt:\n%s", e.seen.String())
+			}
+			e.mu.Unlock()
+		})
+	}
+}
+
 // TestUpgradeBounds checks that while two processes run, each uses at most half of the descriptors, even
 // during a flood, and that the remaining process uses all of them again.
 func TestUpgradeBounds(t *testing.T) {
--- a/internal/dispatch/interface.go
+++ b/internal/dispatch/interface.go
@@ -1,5 +1,7 @@
 package dispatch
 
+import "math"
+
 // All times are in milliseconds, with fractions. Categories, tenants, kinds and zones are given as positions
 // in the lists of the settings, -1 if there is none. IDs are those of the wire.
 
@@ -69,9 +71,12 @@
 	DueStretch  float64 // Added to the due time for each unit of the hinted cost.
 	Expiry      float64 // Upper bound of the due time.
 	Credit      float64 // Credit that an answer in time earns for each unit of cost.
-	Kind        int     // The only kind that runs it; -1: any.
+	Kind        int     // The only kind that runs it; -1: any, NoKind: none.
 }
 
+// NoKind is a kind that no worker is of: the only kind of a category whose kind the settings do not have.
+const NoKind = math.MaxInt32
+
 // Tenant is the configuration of one tenant.
 type Tenant struct {
 	AllowancePerSec float64 // Work items per second within the tenant's share, over all dispatchers.
@@ -80,7 +85,7 @@
 // WorkItem is a client's request as it arrives.
 type WorkItem struct {
 	ID         uint64
-	Category   int
+	Category   int // Below 0: another process took it, and this one's settings do not have its category.
 	Tenant     int
 	TimeLeft   float64 // Time until the client gives up.
 	ShutdownIn float64 // Time until the dispatcher's process ends; 0: it does not end.
--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -241,11 +241,12 @@
 	return UnknownPlace
 }
 
-// Adopt takes over a work item with its hand-offs, in the order in which they were made. Outstanding ones
-// count as load, and are checked and moved like any other. The due time is not known, so the item may use all
-// of the client's time.
-func (d *Dispatcher) Adopt(wi WorkItem, handOffs []Taken) {
-	it := &item{WorkItem: wi, cat: &d.params.categories[wi.Category], expiry: d.now + wi.TimeLeft}
+// Adopt takes over a work item of the given category with its hand-offs, in the order in which they were made.
+// The category is that of the process that accepted the item, whose promises bind. Outstanding hand-offs count
+// as load, and are checked and moved like any other. The due time is not known, so the item may use all of the
+// client's time.
+func (d *Dispatcher) Adopt(wi WorkItem, category Category, handOffs []Taken) {
+	it := &item{WorkItem: wi, cat: &category, expiry: d.now + wi.TimeLeft}
 	if it.Hint, it.hintGuessed = wi.Hint, wi.Hint <= 0; it.hintGuessed {
 		it.Hint = max(d.medianHint, 1)
 	}
--- a/internal/dispatch/learned_test.go
+++ b/internal/dispatch/learned_test.go
@@ -90,8 +90,8 @@
 	at := adopter.now
 	taken := []Taken{{Worker: "gone", Sent: at - 900, Done: true, Unrun: true}, {Worker: "f1", Sent: at - 500, Started: at - 490}}
 	adopter.at(at+5, func(d *Dispatcher) {
-		d.Adopt(WorkItem{ID: 1, Category: 1, Tenant: -1, TimeLeft: 9000, Hint: 100}, taken)
-		d.Adopt(WorkItem{ID: 2, Category: 0, Tenant: -1, TimeLeft: 9000, Hint: 100}, taken)
+		d.Adopt(WorkItem{ID: 1, Category: 1, Tenant: -1, TimeLeft: 9000, Hint: 100}, d.params.categories[1], taken)
+		d.Adopt(WorkItem{ID: 2, Category: 0, Tenant: -1, TimeLeft: 9000, Hint: 100}, d.params.categories[0], taken)
 	})
 	adopter.comment("both stand still; the exclusive one is left alone, the other is moved")
 	adopter.at(at+4000, func(*Dispatcher) {})
@@ -109,7 +109,7 @@
 		at := tr.now
 		taken := []Taken{{Worker: "f1", Sent: at - 500, Done: true, MayStillRun: mayStillRun}, {Worker: "f2", Sent: at - 400, Started: at - 390}}
 		tr.at(at+5, func(d *Dispatcher) {
-			d.Adopt(WorkItem{ID: 1, Category: 0, Tenant: -1, TimeLeft: 9000, Hint: 100}, taken)
+			d.Adopt(WorkItem{ID: 1, Category: 0, Tenant: -1, TimeLeft: 9000, Hint: 100}, d.params.categories[0], taken)
 		})
 		tr.at(at+4000, func(*Dispatcher) {})
 		tr.at(at+4010, func(d *Dispatcher) { tr.end(1, 1, Cancelled) })
--- a/internal/dispatch/repeat_place_test.go
+++ b/internal/dispatch/repeat_place_test.go
@@ -42,7 +42,7 @@
 					list = append(list, *test.listed)
 				}
 				d.Listed(ListComplete, list)
-				d.Adopt(WorkItem{ID: 1, Category: 2, Tenant: -1, TimeLeft: 4000, Hint: 100}, []Taken{{Worker: earlier, Place: test.taken, Sent: 800, Started: 810}})
+				d.Adopt(WorkItem{ID: 1, Category: 2, Tenant: -1, TimeLeft: 4000, Hint: 100}, d.params.categories[2], []Taken{{Worker: earlier, Place: test.taken, Sent: 800, Started: 810}})
 			})
 			tr.at(1010, func(*Dispatcher) { tr.end(1, 0, ConnReset) })
 			tr.at(1500, func(*Dispatcher) {})
--- a/internal/dispatch/state.go
+++ b/internal/dispatch/state.go
@@ -465,7 +465,7 @@
 // hint: the cost of its category, and the speed of the kind and the worker relative to others. Guesses have
 // no scale of their own, so a kind is assumed to have average speed at first.
 func (d *Dispatcher) learnWithoutHint(it *item, w *worker, runTime float64) {
-	if d.anyHint {
+	if d.anyHint || it.Category < 0 {
 		return
 	}
 	k, c := &d.kinds[w.Kind], &d.costs[it.Category]
--- a/internal/dispatch/unlisted_worker_test.go
+++ b/internal/dispatch/unlisted_worker_test.go
@@ -12,7 +12,7 @@
 		tr.at(1000, func(d *Dispatcher) {
 			d.Listed(ListComplete, []Entry{{Worker: "f1"}})
 			d.Arrived(WorkItem{ID: 2, Tenant: -1, TimeLeft: 5000, Hint: 100}) // An arrival allows notices.
-			d.Adopt(WorkItem{ID: 1, Tenant: -1, TimeLeft: 5000, Hint: 100}, []Taken{{Worker: "gone", Sent: 800, Started: 810}})
+			d.Adopt(WorkItem{ID: 1, Tenant: -1, TimeLeft: 5000, Hint: 100}, d.params.categories[0], []Taken{{Worker: "gone", Sent: 800, Started: 810}})
 		})
 		tr.at(1010, func(*Dispatcher) { tr.end(1, 0, outcome) })
 		tr.at(1500, func(*Dispatcher) {})
@@ -28,7 +28,7 @@
 	tr := newTrace(t, baseSettings())
 	tr.at(1000, func(d *Dispatcher) {
 		d.Listed(ListComplete, nil)
-		d.Adopt(WorkItem{ID: 1, Tenant: -1, TimeLeft: 5000, Hint: 100},
+		d.Adopt(WorkItem{ID: 1, Tenant: -1, TimeLeft: 5000, Hint: 100}, d.params.categories[0],
 			[]Taken{{Worker: "f1", Sent: 800, Done: true, MayStillRun: true}, {Worker: "gone", Sent: 900, Started: 910}})
 	})
 	tr.at(1005, func(d *Dispatcher) { d.Listed(ListComplete, []Entry{{Worker: "f1"}}) })
--- a/internal/metrics/metrics.go
+++ b/internal/metrics/metrics.go
@@ -46,10 +46,13 @@
 	}
 }
 
-// JobAnswered counts the answer to an accepted job.
+// JobAnswered counts the answer to an accepted job. One of a category without metrics (below 0) only leaves the
+// active ones.
 func (m *Metrics) JobAnswered(category int, outcome Outcome) {
 	if m != nil {
-		m.answered[category][outcome].Add(1)
+		if category >= 0 {
+			m.answered[category][outcome].Add(1)
+		}
 		m.active.Add(-1)
 	}
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -134,12 +134,14 @@
 // Request is a work item as a client submitted it. The client waits for the answer.
 type Request struct {
 	ID       string
-	Category int
+	Category int // below 0: another process accepted it, and the settings here do not have its category
 	Tenant   int
 	Hint     float64
 	Key      string  // key of the data that the work item needs; empty: none
 	Expiry   float64 // time on the clock of Now
 	Message  any     // set to nil by the event loop once the client has its answer
+	// Of a job that another process accepted: its category there, whose promises bind. Nil: as configured here.
+	AcceptedAs *dispatch.Category
 	// The transport had no memory for its content, so that it can only be deferred.
 	ContentDropped bool
 	Respond        func(Reply) // called once, by the event loop; must not block
@@ -177,6 +179,8 @@
 	Key      string
 	Expiry   float64
 	HandOffs []JobHandOff
+	// Its category as configured where the job was accepted; nil: an older version did not say.
+	AcceptedAs *dispatch.Category `json:",omitempty"`
 }
 
 // JobHandOff is one of the hand-offs of a Job. At most one is in progress, and its worker has accepted it.
@@ -286,7 +290,7 @@
 	Learned() dispatch.Learned
 	ImportLearned(dispatch.Learned)
 	MarkReplaced()
-	Adopt(dispatch.WorkItem, []dispatch.Taken)
+	Adopt(dispatch.WorkItem, dispatch.Category, []dispatch.Taken)
 }
 
 // CallbackState is the state of a work item that a callback reports.
@@ -878,7 +882,8 @@
 			continue
 		}
 		req := it.request
-		j := &Job{ID: req.ID, Category: req.Category, Tenant: req.Tenant, Hint: req.Hint, Key: req.Key, Expiry: req.Expiry}
+		category := n.categoryOf(req)
+		j := &Job{ID: req.ID, Category: req.Category, Tenant: req.Tenant, Hint: req.Hint, Key: req.Key, Expiry: req.Expiry, AcceptedAs: &category}
 		for _, h := range it.handOffs {
 			j.HandOffs = append(j.HandOffs, JobHandOff{Addr: h.addr, Never: h.noCallback, Taken: dispatch.Taken{Worker: h.worker, Place: h.place,
 				Sent: h.sentAt, Started: h.startedAt, Done: h.ended, Unrun: h.provenUnrun, MayStillRun: h.mayStillRun}})
@@ -889,6 +894,14 @@
 	}
 }
 
+// categoryOf returns the category whose promises bind for a request.
+func (n *Node) categoryOf(req *Request) dispatch.Category {
+	if req.AcceptedAs != nil {
+		return *req.AcceptedAs
+	}
+	return n.settings.Categories[req.Category]
+}
+
 // adoptJob takes over a work item that another process handed over.
 func (n *Node) adoptJob(req *Request, j Job) {
 	if n.byID[req.ID] != nil {
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -235,7 +235,7 @@
 // although their hand-offs have ended.
 func TestHandedOverMayStillRun(t *testing.T) {
 	for outcome, want := range map[dispatch.Outcome]bool{dispatch.ConnReset: true, dispatch.Cancelled: true, dispatch.Failed: false, dispatch.Full: false} {
-		n := New(Options{})
+		n := New(Options{Settings: dispatch.Settings{Categories: make([]dispatch.Category, 1)}})
 		var job *Job
 		it := &workItem{wi: 1, request: &Request{ID: "a", Respond: func(r Reply) { job = r.Job }}, handOffs: []handOff{{worker: "w1"}}, outstanding: 1}
 		n.items[1], n.byID["a"] = it, it
--- a/internal/transport/takeover.go
+++ b/internal/transport/takeover.go
@@ -194,6 +194,7 @@
 // transferredJob is a job as one process passes it to the other, together with its client's connection.
 type transferredJob struct {
 	Job        node.Job
+	Names      *jobNames `json:",omitempty"` // nil: an older version, whose positions count here as well
 	Head, Body []byte
 	Ahead      []byte // bytes of the client's next request
 	Spilt      bool   // those exceeded maxPipelined
@@ -204,7 +205,11 @@
 func (t *Transport) handOver(conn *clientConn, j *node.Job, m *message) bool {
 	t.transferMu.Lock() // one at a time: each has its job several times in memory
 	defer t.transferMu.Unlock()
-	text, err := json.Marshal(transferredJob{*j, m.head, m.body, conn.pipelined, conn.pipelineOverflow})
+	names := t.namesOf(j, m)
+	if j.Category < 0 {
+		j.Category = unknownPosition
+	}
+	text, err := json.Marshal(transferredJob{*j, names, m.head, m.body, conn.pipelined, conn.pipelineOverflow})
 	if err == nil {
 		err = t.options.Exchange.TransferJob(conn.Conn.(syscall.Conn), text)
 	}
@@ -217,7 +222,11 @@
 // AdoptJob serves a job that the predecessor handed over.
 func (t *Transport) AdoptJob(conn net.Conn, text []byte) {
 	var transferred transferredJob
-	if err := json.Unmarshal(text, &transferred); err != nil || transferred.Job.Category >= len(t.options.Expiries) {
+	err := json.Unmarshal(text, &transferred)
+	if err == nil {
+		err = transferred.resolve(t.options.Names)
+	}
+	if err != nil {
 		slog.Warn("takeover", "takeover", "cannot decode a job from the predecessor", "err", err)
 		conn.Close()
 		return
@@ -225,7 +234,7 @@
 	// Enqueued here, so that the node has it before it learns that the predecessor has ended.
 	cc := &clientConn{Conn: conn, owner: t.clients, since: time.Now(), started: true, serving: true, proven: true, pipelined: transferred.Ahead, pipelineOverflow: transferred.Spilt}
 	client := &node.Request{ID: transferred.Job.ID, Category: transferred.Job.Category, Tenant: transferred.Job.Tenant, Hint: transferred.Job.Hint,
-		Key: transferred.Job.Key, Expiry: transferred.Job.Expiry}
+		Key: transferred.Job.Key, Expiry: transferred.Job.Expiry, AcceptedAs: transferred.Job.AcceptedAs}
 	m := t.clients.keepTransferred(transferred)
 	client.Message = m
 	cc.reserveAhead()
@@ -240,7 +249,7 @@
 func (c *clientServer) keepTransferred(transferred transferredJob) *message {
 	bytes := excessBytes(len(transferred.Head) + len(transferred.Body))
 	c.memory.waiting.reserve(bytes)
-	return &message{head: transferred.Head, body: transferred.Body, memory: newReservation(&c.memory.waiting, bytes)}
+	return &message{head: transferred.Head, body: transferred.Body, memory: newReservation(&c.memory.waiting, bytes), names: transferred.Names}
 }
 
 // serveAdopted answers an adopted job and continues to serve its connection.
--- a/internal/transport/workers.go
+++ b/internal/transport/workers.go
@@ -44,6 +44,7 @@
 	clientWaits func() bool  // reports whether its client still waits for the answer
 	memory      *reservation // for both; nil: they are part of connBytes
 	gate        answerGate
+	names       *jobNames // of a job that another process accepted; nil: as configured here
 }
 
 // contentLengthBytes is the room that setBody needs in the head.
