One connection at full speed no longer takes the answers of all other clients

Cause: a goroutine that always has something to read is never idle, and the scheduler of Go then looks at the network for the others every 10 ms only, while a usual job needs several such looks. Starts were seen late, so jobs were taken for stuck and moved: repeatable ones ran twice. No line of the log told of that.

Change: a token bucket for each connection of a client, 2,000 reads and requests a second, 128 at once; beyond it the connection pauses. It also holds for what is dropped while an answer is awaited. A job that is handed off again is logged, with its earlier worker and whether it may have run there.

--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -114,6 +114,7 @@
 	case !n.mayTakeWork(): // queued work is given up in the next round
 		n.handOffEnded(it, ho, dispatch.NotSent, "")
 	default:
+		n.logRepeat(it, worker)
 		place := member.Place()
 		it.handOffs[ho].noCallback, it.handOffs[ho].addr, it.handOffs[ho].place = false, member.Addr, &place
 		it.handOffs[ho].attempt = n.transport.Send(HandOffRequest{WI: wi, HO: ho, ID: it.request.ID, Addr: member.Addr,
@@ -123,6 +124,17 @@
 	}
 }
 
+// logRepeat logs that a work item is handed off again, and why it may run twice: what runs at two workers would
+// otherwise show only there. The new hand-off is the last one.
+func (n *Node) logRepeat(it *workItem, worker string) {
+	if len(it.handOffs) < 2 {
+		return
+	}
+	last := it.handOffs[len(it.handOffs)-2]
+	n.log.Info("again", "again", len(it.handOffs), "id", it.request.ID, "worker", worker, "earlier", last.worker,
+		"after", n.now-last.sentAt, "ended", last.ended, "never_ran", last.provenUnrun)
+}
+
 // Cancel cancels a hand-off. It ends when the worker has been told, unless it ends earlier.
 func (n *Node) Cancel(wi uint64, ho int) {
 	if it := n.items[wi]; it != nil && !it.handedOver && ho >= 0 && ho < len(it.handOffs) && !it.handOffs[ho].ended {
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -187,6 +187,7 @@
 	pipelineOverflow bool          // they exceeded maxPipelined, or there was no memory for them
 	watchDone        chan struct{} // closed when the watch has ended
 	watchStopping    atomic.Bool   // the watch is to end
+	pacer            pacer         // used by the goroutine that reads
 }
 
 // Read returns the bytes that arrived. A connection closed for being idle returns none, so that no request is
@@ -196,6 +197,7 @@
 	if c.headBuffered {
 		return 0, errHeadEnd
 	}
+	c.pace()
 	if len(c.pipelined) > 0 {
 		n = c.takePipelined(p)
 	} else if n, err = c.Conn.Read(p); n == 0 && c.giveAway(err) {
@@ -438,6 +440,7 @@
 		for b := make([]byte, 1); ; b = make([]byte, pipelineChunk) { // nearly always nothing arrives
 			n, err := c.Conn.Read(b)
 			if c.keepPipelined(b[:n]); n > 0 && err == nil {
+				c.pace()
 				continue
 			}
 			if !(c.watchStopping.Load() && errors.Is(err, os.ErrDeadlineExceeded)) {
--- a/internal/transport/session.go
+++ b/internal/transport/session.go
@@ -66,6 +66,7 @@
 
 // serveRequest reads a request and responds to it. It returns false if the connection is to be closed.
 func (s *session) serveRequest() bool {
+	s.conn.pace()
 	s.response = fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseResponse(s.response)
 	h, err := s.readHead()
