Usual clients get their answers beside hundreds that write slowly or stop half way

Cause: what gives way was chosen by rank alone. A steady slow writer ranks above a connection of a moment ago, so among hundreds of slow ones the newcomer went; and it went whether or not its request lay there unread.

Change: only a connection whose session waits for bytes, and for which none lie unread, is closed.

--- a/internal/transport/clients.go
+++ b/internal/transport/clients.go
@@ -62,6 +62,8 @@
 	callbackTurn       sync.Mutex // held by the callback that waits for memory next
 	mu                 sync.Mutex
 	conns              map[*clientConn]bool
+	evictionMu         sync.Mutex
+	evictable          []evictionCandidate // used again by each search for a connection to evict
 }
 
 func listenClients(o Options, n *node.Node) (*clientServer, error) {
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -1,6 +1,5 @@
 // This file protects the listener. It owns the connections of clients and callbacks, and decides how many may
-// be open and which of them are evicted. It must never evict a connection whose request is being served, nor
-// look at what a request asks for.
+// be open. It must never look at what a request asks for.
 
 package transport
 
@@ -10,7 +9,6 @@
 	"log/slog"
 	"net"
 	"os"
-	"runtime"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -66,11 +64,7 @@
 	c.mu.Lock()
 	c.conns[cc] = true
 	c.mu.Unlock()
-	if c.overLimit() {
-		runtime.Gosched() // let pending reads happen first
-		for c.overLimit() && (c.evictOne(cc, anyConn) || c.evictOne(nil, anyConn)) {
-		}
-	}
+	c.makeRoom(cc)
 	for c.endingSessions() > max(c.maxConns.Load()/endingShare, minClientConns) {
 		time.Sleep(time.Millisecond)
 	}
@@ -104,34 +98,6 @@
 	return len(c.conns) > int(c.maxConns.Load())
 }
 
-// anyConn makes evictOne consider all connections.
-func anyConn(*clientConn) bool { return true }
-
-// evictOne closes one of the eligible connections, in this order:
-//
-//   - the one that has gone longest without ever carrying work or a callback: silent, idle after a request for
-//     /ready, or with an incomplete request, whose time since the last read counts only a quarter;
-//   - the longest idle;
-//   - the one whose request has been arriving for longest, including a first request that still makes progress.
-//
-// Connections whose request is being served stay; the node accepts no more of them than half of all
-// descriptors. A usual client sends its request at once and so is young in the first group. The newcomer that
-// needs the place is never chosen: if all other connections have carried work, it would be evicted first, and
-// no callback would get in.
-func (c *clientServer) evictOne(newcomer *clientConn, eligible func(*clientConn) bool) bool {
-	var victim *clientConn
-	var lowest evictionPriority
-	for _, conn := range c.snapshot() {
-		if s := conn.priority(); conn != newcomer && s.rank < rankServing && eligible(conn) && (victim == nil || s.before(lowest)) {
-			victim, lowest = conn, s
-		}
-	}
-	if victim != nil {
-		victim.evict()
-	}
-	return victim != nil
-}
-
 // Close closes the listener.
 func (c *clientServer) Close() error {
 	err := c.listener.Close()
@@ -142,24 +108,6 @@
 // Addr returns the address of the listener.
 func (c *clientServer) Addr() net.Addr { return c.listener.Addr() }
 
-// Ranks of connections by how near they are to being served; lower ranks are evicted first.
-const (
-	rankUnproven  = iota // has never carried work or a callback
-	rankIdle             // has carried some, and has no request
-	rankReceiving        // its next request is arriving
-	rankServing
-)
-
-// evictionPriority orders connections: a lower rank is evicted first, and the oldest within a rank.
-type evictionPriority struct {
-	rank  int
-	since time.Time
-}
-
-func (s evictionPriority) before(o evictionPriority) bool {
-	return s.rank < o.rank || s.rank == o.rank && s.since.Before(o.since)
-}
-
 // clientConn is a connection that can be closed between requests without losing one, and that notices while a
 // request is served that its client disconnects.
 type clientConn struct {
@@ -171,6 +119,7 @@
 	reads            int       // reads that the request has taken so far
 	firstRead        time.Time // time of the first of them
 	lastRead         time.Time // time of the latest of them
+	reading          bool      // a read from the socket waits for bytes
 	serving          bool
 	used             bool // a request has been answered on it
 	proven           bool
@@ -200,7 +149,7 @@
 	c.pace()
 	if len(c.pipelined) > 0 {
 		n = c.takePipelined(p)
-	} else if n, err = c.Conn.Read(p); n == 0 && c.giveAway(err) {
+	} else if n, err = c.readSocket(p); n == 0 && c.giveAway(err) {
 		return 0, io.EOF
 	} else if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readLate(p, err)
@@ -238,9 +187,22 @@
 	if !retry {
 		return 0, err
 	}
+	return c.readSocket(p)
+}
+
+// readSocket reads from the socket. While it waits for bytes, the connection may be evicted.
+func (c *clientConn) readSocket(p []byte) (int, error) {
+	c.setReading(true)
+	defer c.setReading(false)
 	return c.Conn.Read(p)
 }
 
+func (c *clientConn) setReading(reading bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = reading
+}
+
 // offer gives the connection away as soon as it waits for a request.
 func (c *clientConn) offer() {
 	c.mu.Lock()
@@ -312,27 +274,6 @@
 	return b
 }
 
-func (c *clientConn) priority() evictionPriority {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	s := evictionPriority{rankUnproven, c.since}
-	switch quiet := time.Since(c.lastRead); {
-	case c.started && !c.proven && c.reads > 1 && quiet < readTimeout/2: // it sends its request slowly
-		s.rank = rankReceiving
-	case c.started && !c.proven && c.reads > 0: // the rest may follow: it counts as a quarter as old as a silent one
-		s.since = c.lastRead.Add(quiet * 3 / 4)
-	}
-	switch {
-	case c.serving:
-		s.rank = rankServing
-	case c.proven && c.started:
-		s.rank = rankReceiving
-	case c.proven:
-		s.rank = rankIdle
-	}
-	return s
-}
-
 // markProven records that the connection has carried work or a callback.
 func (c *clientConn) markProven() {
 	c.mu.Lock()
@@ -373,21 +314,6 @@
 	c.releaseAnswer()
 }
 
-// evict closes the connection, unless a request is served on it by now, or it was idle and unread bytes have
-// arrived: then it counts as receiving.
-func (c *clientConn) evict() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.serving:
-	case c.proven && !c.started && c.hasUnread():
-		c.markStarted()
-	default:
-		c.closing, c.forceClosed = true, true
-		c.closeLocked()
-	}
-}
-
 // hasUnread reports whether bytes wait to be read.
 func (c *clientConn) hasUnread() bool {
 	waits, _ := c.peek()
