An id whose client has left does not run again if its job may have run

Cause: an id was remembered with the answer that a client got, not with a client's leaving.

Change: it is remembered when the job has ended if any hand-off may have run, whatever the client got.

The trace of TestEventLoop had the id handed off again: that was this fault. It has 409 there now, and a new case where the job cannot have run and its id is free.

--- a/cmd/weldmast/client_disconnect_test.go
+++ b/cmd/weldmast/client_disconnect_test.go
@@ -346,6 +346,21 @@
 		serveLast(e, a, "w1")
 		a.neverLate("behind", left)
 	})
+	t.Run("and its id comes again", func(t *testing.T) {
+		for how := range 3 {
+			e, a := start(t, accept)
+			c := e.dial()
+			io.WriteString(c, request("left", order, ""))
+			a.await("left")
+			c.disconnect(how)
+			e.until("the disconnect", func() bool { return e.active(0) })
+			e.until("the cancellation", func() bool { e.mu.Lock(); defer e.mu.Unlock(); return a.deletes["left"] })
+			time.Sleep(2 * maxDelay) // the DELETE is answered
+			if got := e.dial().ask(request("left", order, "")); !strings.HasPrefix(got, "409") {
+				t.Errorf("a job that may have run, and whose id came again: %s", got)
+			}
+		}
+	})
 	t.Run("at the limit of descriptors", func(t *testing.T) {
 		e, a := start(t, nil)
 		e.limitDescriptors(20)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -811,8 +811,13 @@
 	n.usedIDs[0][id] = true
 }
 
+// removeIfDone removes a work item that is answered and of which nothing is out. Its ID stays known if it may have
+// run, also for a client that has left: the ID may come again.
 func (n *Node) removeIfDone(it *workItem) {
 	if it.answered && it.outstanding == 0 {
+		if slices.ContainsFunc(it.handOffs, func(h handOff) bool { return !h.provenUnrun }) {
+			n.rememberID(it.request.ID)
+		}
 		delete(n.items, it.wi)
 		delete(n.byID, it.request.ID)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -148,12 +148,18 @@
 			s.at(1020, Callback{ID: "a", From: "w1", State: Started})
 			s.at(1300, Callback{ID: "a", From: "w1", State: Done, Result: "late"})
 		}},
-		{"the client leaves", func(s *script) {
+		{"the client leaves: its job may have run, and its id does not run again", func(s *script) {
 			a := s.client("a", 0, 2000)
 			s.at(1010, a)
 			s.at(1020, ClientDisconnected{a.Request})
 			s.at(1030, HandOffEnded{1, 0, dispatch.Cancelled}, s.client("a", 0, 2000))
 		}},
+		{"the client leaves before its job can have run: its id is free", func(s *script) {
+			a := s.client("a", 0, 2000)
+			s.at(1010, a)
+			s.at(1020, ClientDisconnected{a.Request})
+			s.at(1030, HandOffEnded{1, 0, dispatch.ConnectFailed}, s.client("a", 0, 2000))
+		}},
 		{"more than may be open", func(s *script) {
 			for k := range 10 {
 				s.at(1010, s.client(fmt.Sprint(k), 1, 2000))
