An id that comes to both processes of a replacement runs once

Cause: the older process tells its ids once, at SIGTERM, but still takes requests that have begun by then.

Change: while both take jobs, each tells the other the id of each job that it takes, by a message of the exchange that older versions pass over.

Evidence: TestUpgradeRepeatedID fails on (two attempts) and passes.

--- a/cmd/weldmast/takeover_test.go
+++ b/cmd/weldmast/takeover_test.go
@@ -455,6 +455,55 @@
 	}
 }
 
+// TestUpgradeRepeatedID guards against an ID that runs twice because it comes to both processes of a replacement,
+// also when its first client has left.
+func TestUpgradeRepeatedID(t *testing.T) {
+	for _, olderFirst := range []bool{true, false} {
+		t.Run(fmt.Sprint("older first ", olderFirst), func(t *testing.T) {
+			t.Parallel()
+			e := newTakeoverEnv(t)
+			e.publish(memberList(1, true, memberEntry("w1", e.startWorker("w1", nil), "in_service"), memberEntry("w2", e.startWorker("w2", nil), "in_service")))
+			e.launch()
+			e.awaitReady()
+			text := request("a", "/order/x", "")
+			atOlder := e.dial()
+			io.WriteString(atOlder, text[:len(text)-1]) // begun, so that the connection stays
+			older := e.startSuccessor()
+			time.Sleep(50 * time.Millisecond)
+			e.must(older.Process.Signal(syscall.SIGTERM))
+			e.awaitLog("inherited", 1)
+			atNewer := e.dial()
+			send := func(c *client) {
+				rest := text
+				if c == atOlder {
+					rest = text[len(text)-1:]
+				}
+				io.WriteString(c, rest)
+			}
+			first, second := atNewer, atOlder
+			if olderFirst {
+				first, second = atOlder, atNewer
+			}
+			send(first)
+			e.awaitLine(": a\n", 1)
+			if olderFirst {
+				first.Close()
+				e.awaitLine("DELETE /jobs/a", 1)
+			}
+			time.Sleep(20 * time.Millisecond)
+			send(second)
+			if got := second.answer(); !strings.HasPrefix(got, "409") {
+				t.Errorf("the same ID at the other process: %s", got)
+			}
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if n := strings.Count(e.seen.String(), ": a\n"); n != 1 {
+				t.Errorf("%d attempts:\n%s", n, e.seen.String())
+			}
+		})
+	}
+}
+
 // TestUpgradeWorkerLeaves guards against a worker that leaves the list during a replacement being taken for
 // one of cell 0: the newer process sent its work there, and a marked job had its effect in two cells.
 func TestUpgradeWorkerLeaves(t *testing.T) {
--- a/internal/node/lease_guard_test.go
+++ b/internal/node/lease_guard_test.go
@@ -39,6 +39,7 @@
 func (f *fakeTransport) Unwatch(int)                           {}
 func (f *fakeTransport) SendToPeer(int, []byte)                {}
 func (f *fakeTransport) Drain(func() TakeoverState) bool       { return false }
+func (f *fakeTransport) ShareID(string)                        {}
 func (f *fakeTransport) ForwardCallback(c Callback)            { c.Respond(CallbackUnknown) }
 func (f *fakeTransport) CloseIdle()                            {}
 func (f *fakeTransport) Allowed() bool                         { return f.open }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -101,6 +101,8 @@
 	// closed after its next answer. It may call the function that returns the state before it returns. It
 	// reports whether another process takes over.
 	Drain(state func() TakeoverState) (hasSuccessor bool)
+	// ShareID tells the other processes of this dispatcher that a job with the ID was accepted here.
+	ShareID(id string)
 	// ForwardCallback asks the other processes of this dispatcher whether they know the work item of a
 	// callback, and to apply it. c.Respond must not be nil; it is called once, with the result.
 	ForwardCallback(c Callback)
@@ -221,6 +223,8 @@
 		Request *Request
 		Job     Job
 	}
+	// IDUsed reports that another process of this dispatcher has accepted a job with the ID.
+	IDUsed struct{ ID string }
 	// StateInherited is the state taken over from the predecessor.
 	StateInherited struct{ State TakeoverState }
 	// DiscoveryUpdate is a list of workers, or a change to it, that discovery sent.
@@ -634,6 +638,8 @@
 		}
 	case StateInherited:
 		n.inheritState(v.State)
+	case IDUsed:
+		n.rememberID(v.ID)
 	case JobAdopted:
 		n.adoptJob(v.Request, v.Job)
 	case DiscoveryUpdate:
@@ -774,6 +780,7 @@
 	req.item = it
 	n.items[it.wi], n.byID[req.ID] = it, it
 	n.open++
+	n.transport.ShareID(req.ID)
 	n.schedule(it.deadline()+n.settings.AnswerSlack, it.wi, -1)
 	n.inbox = append(n.inbox, it)
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -44,6 +44,7 @@
 	s.logf("continue %s hand-off %d at %s", x.ID, x.HO, x.Addr)
 	return scriptedAttempt{s, fmt.Sprintf("%s hand-off %d at %s", x.ID, x.HO, x.Addr)}
 }
+func (s *script) ShareID(string)             {}
 func (s *script) ForwardCallback(c Callback) { s.logf("pass %s", c.ID) }
 func (s *script) CloseIdle()                 { s.logf("dismiss") }
 
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -91,6 +91,7 @@
 	onForward func(Callback)
 }
 
+func (f floodTransport) ShareID(string)             {}
 func (f floodTransport) ForwardCallback(c Callback) { f.onForward(c) }
 
 // TestQueueFlood guards against a flood of events that keeps the node from deciding anything, and makes a
--- a/internal/takeover/exchange.go
+++ b/internal/takeover/exchange.go
@@ -15,6 +15,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -50,6 +51,8 @@
 	// call HandOver again, but only after SuccessorConnected has returned: the Exchange holds its lock during
 	// this call.
 	SuccessorConnected()
+	// RememberID records that the other process has accepted a job with the ID.
+	RememberID(id string)
 	// ForwardedCallback handles a worker's callback that the other process has no job for.
 	ForwardedCallback(callback []byte, fromSuccessor bool, reply func(CallbackResult))
 }
@@ -73,7 +76,8 @@
 	listener          *net.UnixListener
 	ownSocket         fs.FileInfo // file of the socket at path while it belongs to this process
 	closed            bool
-	predecessorGoneAt time.Time // when the link to the predecessor ended
+	overlaps          atomic.Bool // another process accepts jobs as well
+	predecessorGoneAt time.Time   // when the link to the predecessor ended
 	goroutines        sync.WaitGroup
 }
 
@@ -196,6 +200,7 @@
 // on the other process: its write takes up to writeTimeout, after any writes to the link that are in
 // progress.
 func (x *Exchange) perform(actions []Action, exportState func() []byte) {
+	defer func() { x.overlaps.Store(len(x.overlapping()) > 0) }()
 	for _, a := range actions {
 		switch a {
 		case StartAccepting:
@@ -365,6 +370,8 @@
 				}
 			}
 			job = nil
+		case msgUsedID:
+			x.host.RememberID(string(payload))
 		case msgCallback:
 			if len(payload) < 8 {
 				break
@@ -410,6 +417,34 @@
 	return l.sendJob(job, c)
 }
 
+// overlapping returns the links to the processes that accept jobs as well: after a hand-over, the older process
+// still serves the connections that it has. The lock is held.
+func (x *Exchange) overlapping() (links []*link) {
+	if x.successor != nil && x.machine.handedOver {
+		links = append(links, x.successor)
+	}
+	if x.predecessor != nil && (x.machine.accepting || x.machine.handedOver) {
+		links = append(links, x.predecessor)
+	}
+	return links
+}
+
+// Overlaps reports whether another process accepts jobs as well. It never waits.
+func (x *Exchange) Overlaps() bool { return x.overlaps.Load() }
+
+// ShareID tells the other processes that accept jobs of the ID of a job that this one has accepted. It may block
+// for writeTimeout. An ID that cannot be told is lost: the link ends then.
+func (x *Exchange) ShareID(id string) {
+	x.mu.Lock()
+	links := x.overlapping()
+	x.mu.Unlock()
+	for _, l := range links {
+		if l.send(msgUsedID, []byte(id)) != nil {
+			l.conn.Close()
+		}
+	}
+}
+
 // HasPredecessor reports whether a predecessor is connected, or was until at most callbackTimeout ago. The
 // time is added because the result of a callback that was forwarded to the predecessor may arrive after its
 // end, and the predecessor may have handed the callback's job over in the meantime.
--- a/internal/takeover/link.go
+++ b/internal/takeover/link.go
@@ -30,6 +30,7 @@
 	msgJob            = 'j' // payload: a job, or the last part of one; comes with its client's connection
 	msgCallback       = 'a' // payload: an 8-byte ID and a callback
 	msgCallbackResult = 'k' // payload: an 8-byte ID and a CallbackResult
+	msgUsedID         = 'u' // payload: the ID of a job that the sender has accepted; older versions ignore it
 )
 
 const (
--- a/internal/transport/takeover.go
+++ b/internal/transport/takeover.go
@@ -280,6 +280,36 @@
 	return !handedOver && s.respond(requestHead{})
 }
 
+// sharedIDsQueue is how many IDs may wait to be told to another process.
+const sharedIDsQueue = 4096
+
+// ShareID tells the other processes of this dispatcher of an ID, if they accept jobs as well.
+func (t *Transport) ShareID(id string) {
+	if t.options.Exchange == nil || !t.options.Exchange.Overlaps() {
+		return
+	}
+	select {
+	case t.sharedIDs <- id:
+	default:
+		slog.Warn("takeover", "takeover", "too many IDs wait for the other process", "id", id)
+	}
+}
+
+// sendSharedIDs sends the IDs of ShareID until the context ends.
+func (t *Transport) sendSharedIDs(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case id := <-t.sharedIDs:
+			t.options.Exchange.ShareID(id)
+		}
+	}
+}
+
+// RememberID tells the node of an ID that another process uses.
+func (t *Transport) RememberID(id string) { t.node.Enqueue(node.IDUsed{ID: id}) }
+
 // forwardedCallback is a callback as one process passes it to the other.
 type forwardedCallback struct {
 	ID, From string
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -63,6 +63,7 @@
 	limitMu    sync.Mutex // guards options.MaxSockets and halved
 	halved     bool
 	transferMu sync.Mutex // held while a job is handed over
+	sharedIDs  chan string
 }
 
 // Shares of the limit on sockets. The rest is for discovery, peers, files and the runtime. At most half of
@@ -86,7 +87,7 @@
 // run yet.
 func Start(o Options, n *node.Node) (*Transport, error) {
 	ctx, stop := context.WithCancel(context.Background())
-	t := &Transport{options: o, node: n, stop: stop}
+	t := &Transport{options: o, node: n, stop: stop, sharedIDs: make(chan string, sharedIDsQueue)}
 	t.workers = newWorkers(n, o)
 	t.discovery = newDiscovery(ctx, n, o, &t.running)
 	var err error
@@ -109,6 +110,9 @@
 	}
 	t.running.Go(func() { t.workers.closeExpired(ctx) })
 	t.running.Go(func() { t.peers.send(ctx) })
+	if o.Exchange != nil {
+		t.running.Go(func() { t.sendSharedIDs(ctx) })
+	}
 	t.running.Go(t.peers.receive)
 	t.running.Go(t.clients.serve)
 	return t, nil
--- a/internal/virtualtime/virtualtime.go
+++ b/internal/virtualtime/virtualtime.go
@@ -277,6 +277,7 @@
 func (h *host) Drain(func() node.TakeoverState) bool { return false }
 
 // ForwardCallback answers that the job is unknown: there is no other process to ask.
+func (h *host) ShareID(string)                  {}
 func (h *host) ForwardCallback(c node.Callback) { c.Respond(node.CallbackUnknown) }
 
 // CloseIdle does nothing, like Drain.
