A client's close is noticed whatever lies unread before it

Cause: a close was seen once all that came before it had been read.

Change: the look at a connection asks for its end as well, whatever remains to be read. What is more than is kept of requests that are sent ahead is dropped in the kernel, 256 KiB at once, without a copy.

--- a/cmd/weldmast/client_disconnect_test.go
+++ b/cmd/weldmast/client_disconnect_test.go
@@ -346,6 +346,29 @@
 		serveLast(e, a, "w1")
 		a.neverLate("behind", left)
 	})
+	t.Run("with much still unread", func(t *testing.T) {
+		// A job and many behind it; the latter size is more than what is kept of requests that are sent ahead.
+		for _, many := range []int{60, 4000, 40000} {
+			for how := range 3 {
+				e, a := start(t, nil)
+				c := e.dial()
+				var text strings.Builder
+				for k := range many {
+					text.WriteString(request(fmt.Sprintf("left-%d", k), order, ""))
+				}
+				e.must(e.cmd.Process.Signal(syscall.SIGSTOP))
+				c.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)) // the buffers may be full
+				io.WriteString(c, text.String())
+				left := c.disconnect(how)
+				time.Sleep(2 * maxDelay) // whatever is sent from now on is too late
+				e.must(e.cmd.Process.Signal(syscall.SIGCONT))
+				serveLast(e, a, "w1")
+				for k := range many {
+					a.neverLate(fmt.Sprintf("left-%d", k), left)
+				}
+			}
+		}
+	})
 	t.Run("and its id comes again", func(t *testing.T) {
 		for how := range 3 {
 			e, a := start(t, accept)
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -14,6 +14,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // serve accepts connections until the listener is closed. It never waits for another client's request to end:
@@ -364,8 +366,14 @@
 	go func() {
 		defer close(c.watchDone)
 		for b := make([]byte, 1); ; b = make([]byte, pipelineChunk) { // nearly always nothing arrives
-			n, err := c.Conn.Read(b)
-			if c.keepPipelined(b[:n]); n > 0 && err == nil {
+			n, err := 0, error(nil)
+			if c.pipelineOverflow {
+				n, err = c.discardArrived()
+			} else {
+				n, err = c.Conn.Read(b)
+				c.keepPipelined(b[:n])
+			}
+			if n > 0 && err == nil {
 				c.pace()
 				continue
 			}
@@ -439,7 +447,7 @@
 }
 
 // peek reports, without reading anything, whether bytes wait to be read, and whether the client has closed
-// the connection and no bytes remain before its end. This guards against work that is sent for a client that
+// the connection, also if bytes remain before its end. This guards against work that is sent for a client that
 // has disconnected before the watch noticed.
 func (c *clientConn) peek() (unread, closed bool) {
 	closed = !c.withFD(func(fd int) {
@@ -447,10 +455,50 @@
 		n, _, err := syscall.Recvfrom(fd, b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		unread = n > 0
 		closed = n <= 0 && (err == nil || !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR))
+		if unread {
+			closed = hasHungUp(fd)
+		}
 	}) || closed
 	return unread, closed
 }
 
+// hasHungUp reports whether the other end of a connection has closed it, whatever remains to be read.
+func hasHungUp(fd int) bool {
+	state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+	n, err := unix.Poll(state, 0)
+	return err == nil && n > 0
+}
+
+// discardSize is how much is discarded at once. A client that has sent megabytes before it closed must be noticed
+// soon.
+const discardSize = 256 << 10
+
+// discardTarget is never written to, so it takes no memory.
+var discardTarget [discardSize]byte
+
+// discardArrived discards what has arrived, or waits for more. It returns how many bytes there were.
+func (c *clientConn) discardArrived() (n int, err error) {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return 0, err
+	}
+	var failed error
+	err = raw.Read(func(fd uintptr) bool {
+		// With MSG_TRUNC the bytes of a stream are dropped in the kernel.
+		n, _, failed = unix.Recvfrom(int(fd), discardTarget[:], unix.MSG_TRUNC|unix.MSG_DONTWAIT)
+		return !errors.Is(failed, unix.EAGAIN) && !errors.Is(failed, unix.EINTR)
+	})
+	switch {
+	case err != nil:
+		return 0, err
+	case failed != nil:
+		return 0, failed
+	case n == 0:
+		return 0, io.EOF
+	}
+	return n, nil
+}
+
 // withFD calls use with the connection's descriptor. It returns false if the connection is closed.
 func (c *clientConn) withFD(use func(fd int)) bool {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
--- a/internal/transport/connections_test.go
+++ b/internal/transport/connections_test.go
@@ -58,3 +58,56 @@
 		}
 	}
 }
+
+// TestCloseSeenBehindUnread guards against work that is sent for a client that has closed its connection behind
+// bytes that nobody has read yet.
+func TestCloseSeenBehindUnread(t *testing.T) {
+	for name, end := range map[string]func(*net.TCPConn) error{
+		"open":        func(*net.TCPConn) error { return nil },
+		"half closed": func(c *net.TCPConn) error { return c.CloseWrite() },
+		"closed":      func(c *net.TCPConn) error { return c.Close() },
+		"reset": func(c *net.TCPConn) error {
+			c.SetLinger(0)
+			return c.Close()
+		},
+	} {
+		cc, client := connPair(t)
+		if _, err := client.Write([]byte("much more")); err != nil {
+			t.Fatal(err)
+		}
+		if err := end(client); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(20 * time.Millisecond) // it has arrived by now
+		if _, closed := cc.peek(); closed != (name != "open") {
+			t.Errorf("%s: closed %v", name, closed)
+		}
+	}
+}
+
+// TestDiscardArrived guards against bytes that are left, and against an end that is not seen, when what a client
+// sends too much of is dropped.
+func TestDiscardArrived(t *testing.T) {
+	const sent = 3<<20 + 5
+	cc, client := connPair(t)
+	go func() {
+		client.Write(make([]byte, sent))
+		client.Close()
+	}()
+	total := 0
+	for {
+		n, err := cc.discardArrived()
+		if total += n; errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	if total != sent {
+		t.Errorf("%d bytes were discarded, %d sent", total, sent)
+	}
+	if discardTarget != [discardSize]byte{} {
+		t.Error("the bytes were copied")
+	}
+}
