A job that goes over to a process that was told to stop gets its answer before that ends

Cause: a request that comes to a stopping process, and what is open at the stop, are bounded by the process's end; a job taken over after that was not.

Change: it is bounded the same way, in the node and at the dispatcher.

--- a/internal/dispatch/learned.go
+++ b/internal/dispatch/learned.go
@@ -247,6 +247,9 @@
 // client's time.
 func (d *Dispatcher) Adopt(wi WorkItem, category Category, handOffs []Taken) {
 	it := &item{WorkItem: wi, cat: &category, expiry: d.now + wi.TimeLeft}
+	if wi.ShutdownIn > 0 {
+		it.expiry = min(it.expiry, d.now+wi.ShutdownIn)
+	}
 	if it.Hint, it.hintGuessed = wi.Hint, wi.Hint <= 0; it.hintGuessed {
 		it.Hint = max(d.medianHint, 1)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -914,7 +914,8 @@
 	return n.settings.Categories[req.Category]
 }
 
-// adoptJob takes over a work item that another process handed over.
+// adoptJob takes over a work item that another process handed over. If this process is to end as well, the work
+// item is answered before that.
 func (n *Node) adoptJob(req *Request, j Job) {
 	if n.byID[req.ID] != nil {
 		req.Respond(Reply{Result: DuplicateID})
@@ -925,14 +926,17 @@
 	req.item = it
 	n.items[it.wi], n.byID[req.ID] = it, it
 	n.open++
+	if n.Phase() == Draining {
+		it.processEndsIn = max(n.answerBy-n.now, n.settings.RoundInterval)
+	}
 	n.schedule(it.deadline()+n.settings.AnswerSlack, it.wi, -1)
 	for k, t := range j.HandOffs {
 		h := handOff{worker: t.Worker, place: t.Place, sentAt: t.Sent, ended: t.Done, noCallback: t.Never, provenUnrun: t.Unrun, mayStillRun: t.MayStillRun, startedAt: t.Started, addr: t.Addr}
 		if !h.ended {
 			it.outstanding++
 			h.attempt = n.transport.AdoptHandOff(HandOffRequest{WI: it.wi, HO: k, ID: req.ID, Addr: t.Addr, Message: req.Message,
-				Timeout: max(req.Expiry-n.now, 0)})
-			n.schedule(req.Expiry, it.wi, k)
+				Timeout: max(it.deadline()-n.now, 0)})
+			n.schedule(it.deadline(), it.wi, k)
 		}
 		it.handOffs = append(it.handOffs, h)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -246,6 +246,17 @@
 			s.at(1040, job("c", 1500))
 			s.at(1505)
 		}},
+		{"takes jobs over after it was told to stop: answers them before its end, as they may have run or not", func(s *script) {
+			job := func(id string, handOffs ...JobHandOff) JobAdopted {
+				c := s.client(id, 1, 9000).Request
+				return JobAdopted{c, Job{ID: id, Category: 1, Expiry: c.Expiry, HandOffs: handOffs}}
+			}
+			s.at(1005, s.client("own", 1, 9000))
+			s.at(1010, Stop{})
+			s.at(2900, job("runs", JobHandOff{Addr: "at-w1", Taken: dispatch.Taken{Worker: "w1", Sent: 600, Started: 610}}), job("queued"))
+			s.at(3600)
+			s.logf("phase %s", s.Phase())
+		}},
 		{"told to stop beside a newer process: takes work for half a second, as that one takes it", func(s *script) {
 			s.hasSuccessor = true
 			s.at(1010, DiscoveryUpdate{Watch: 1, Revision: 5})
--- a/internal/node/rounds.go
+++ b/internal/node/rounds.go
@@ -73,7 +73,7 @@
 				}
 				req := v.item.request
 				to.Adopt(dispatch.WorkItem{ID: v.item.wi, Category: req.Category, Tenant: req.Tenant,
-					TimeLeft: max(req.Expiry-n.now, 0), Hint: req.Hint, Key: req.Key}, n.categoryOf(req), handOffs)
+					TimeLeft: max(req.Expiry-n.now, 0), ShutdownIn: v.item.processEndsIn, Hint: req.Hint, Key: req.Key}, n.categoryOf(req), handOffs)
 			}
 		case dispatch.Learned:
 			if to, ok := d.(takeoverDecider); ok {
