A fence waits for each process of a member that may act alone

Cause: the leader counted one process of a member. It refused the newer one's heartbeats while the older one was heard and kept nothing of them; and at a port of its own a process counted as the owner of the member's address from its start, so that the one before it counted as dead.

Change: a fence of a member that serves alone waits for processes whose heartbeats are refused, until they have the version in force and in the folder or end; and for a newer one that only the older one has told of, until it is heard. At ports of their own a process owns the address once it has locked the member's folder.

--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -102,6 +102,12 @@
 	}
 }
 
+// AnyPort reports whether each process of the member listens at a port of its own.
+func (m *Membership) AnyPort() bool {
+	at, err := netip.ParseAddrPort(m.Listen)
+	return err == nil && at.Port() == 0
+}
+
 // MembershipFor returns the membership of the dispatcher with the name.
 func (f *Fleet) MembershipFor(name string) (m Membership, err error) {
 	m = Membership{Fleet: f.Name, Name: f.Member, Listen: f.Listen, WhenIsolated: fleet.IsolationPolicy(f.WhenIsolated),
--- a/internal/fleet/lease_holder.go
+++ b/internal/fleet/lease_holder.go
@@ -27,6 +27,7 @@
 	Address string `cbor:"4,keyasint"`
 	RunID   string `cbor:"5,keyasint"` // identifies the process
 	// it listens on the member's address: earlier processes are dead or about to exit
+	// or, where each process has an address of its own, it has locked the member's directory
 	OwnsAddress     bool            `cbor:"6,keyasint,omitempty"`
 	IsolationPolicy IsolationPolicy `cbor:"7,keyasint"`
 	ProgramVersion  string          `cbor:"8,keyasint"`
@@ -49,6 +50,8 @@
 	VoterStatus     string `cbor:"21,keyasint,omitempty"` // status text of its voter, if it has one
 	// newest version in its directory, which a process that is started later begins with
 	SavedVersion uint64 `cbor:"22,keyasint,omitempty"`
+	// a newer process of the member waits to take this one's place, or has taken it
+	HasSuccessor bool `cbor:"23,keyasint,omitempty"`
 }
 
 // LeaseRenewal is the leader's reply to a heartbeat. It also tells why a lease is not renewed.
--- a/internal/fleet/lease_manager.go
+++ b/internal/fleet/lease_manager.go
@@ -25,6 +25,7 @@
 	timing          Timing
 	electedAt       float64
 	processes       map[string][]*process  // by member, oldest first
+	refused         map[string][]*process  // by member: they get no lease as another process has the name, but may act
 	fenceCompleteAt map[uint64]float64     // Unix time at which each complete fence was found to be complete
 	probeResults    map[string]string      // results of connecting to silent members
 	runs            map[string][]RunRecord // by member, as last reported
@@ -41,11 +42,14 @@
 // NewLeaseManager returns the manager of a newly elected leader. The previous leader may have granted leases
 // until now.
 func NewLeaseManager(timing Timing, now float64) *LeaseManager {
-	return &LeaseManager{timing: timing, electedAt: now, processes: map[string][]*process{}, fenceCompleteAt: map[uint64]float64{},
+	return &LeaseManager{timing: timing, electedAt: now, processes: map[string][]*process{}, refused: map[string][]*process{}, fenceCompleteAt: map[uint64]float64{},
 		probeResults: map[string]string{}, runs: map[string][]RunRecord{}}
 }
 
-const maxProcesses = 4 // retained processes of one member
+const (
+	maxProcesses = 4  // retained processes of one member
+	maxRefused   = 16 // retained processes of one member that another one keeps from its name
+)
 
 // HandleHeartbeat handles a heartbeat received at the given time. The caller has confirmed since then that
 // this voter is the leader. If notAdmitted is true, the process has to be admitted (AdmitMember) first: the
@@ -77,6 +81,7 @@
 			p = x
 		} else if x.heartbeat.Address != hb.Address && receivedAt < x.lastContact+lm.timing.Lease && !x.heartbeat.Leaving {
 			r.Reason = fmt.Sprintf("the name is taken by the process at %s", x.heartbeat.Address)
+			lm.recordRefused(receivedAt, hb)
 			return r, false
 		}
 	}
@@ -84,10 +89,7 @@
 		if !m.HasRun(hb.RunID) || m.IsolationPolicy != hb.IsolationPolicy || m.Address != hb.Address {
 			return r, true // new leaders rely on the admitted run, address and isolation policy
 		}
-		p = &process{leaseExpiry: math.Inf(-1)}
-		if k := len(hb.Runs) - 1; k >= 0 {
-			p.startedAt = hb.Runs[k].StartedAt
-		}
+		p = &process{leaseExpiry: math.Inf(-1), startedAt: hb.startedAt()}
 		// Keep the order of process starts: a new leader may hear from a newer process first.
 		at := slices.IndexFunc(processes, func(x *process) bool { return x.startedAt > p.startedAt })
 		if at < 0 {
@@ -102,6 +104,7 @@
 	}
 	p.heartbeat, p.lastContact = hb, receivedAt
 	p.heartbeat.Runs = nil
+	lm.forgetRefused(hb.Member, hb.RunID)
 	delete(lm.probeResults, hb.Member)
 	lm.storeRuns(hb)
 	if p.notifiedVersion < r.NewestVersion {
@@ -122,6 +125,35 @@
 	return r, false
 }
 
+// startedAt returns the Unix time at which the process started, 0 if it does not say.
+func (hb *Heartbeat) startedAt() float64 {
+	if k := len(hb.Runs) - 1; k >= 0 {
+		return hb.Runs[k].StartedAt
+	}
+	return 0
+}
+
+// recordRefused records a process that gets no lease because another one has the name. It may act alone all the
+// same, so fences wait for it.
+func (lm *LeaseManager) recordRefused(receivedAt float64, hb Heartbeat) {
+	lm.forgetRefused(hb.Member, hb.RunID)
+	if hb.Leaving {
+		return
+	}
+	p := &process{heartbeat: hb, lastContact: receivedAt, leaseExpiry: math.Inf(-1), startedAt: hb.startedAt()}
+	p.heartbeat.Runs = nil
+	refused := append(lm.refused[hb.Member], p)
+	if len(refused) > maxRefused {
+		refused = refused[1:]
+	}
+	lm.refused[hb.Member] = refused
+}
+
+// forgetRefused removes the record of a process that has ended, or that has the name now.
+func (lm *LeaseManager) forgetRefused(member, runID string) {
+	lm.refused[member] = slices.DeleteFunc(slices.Clone(lm.refused[member]), func(p *process) bool { return p.heartbeat.RunID == runID })
+}
+
 // storeRuns stores the run records that a member reports. A later report on a run replaces the earlier one.
 func (lm *LeaseManager) storeRuns(hb Heartbeat) {
 	runs := lm.runs[hb.Member]
@@ -179,6 +211,9 @@
 	}
 	oldLeaseExpiry := lm.electedAt + lm.timing.Lease*(1+lm.timing.Drift)
 	processes := lm.processes[m.Name]
+	if w, waiting := lm.refusedWait(version, m); waiting {
+		return w, true
+	}
 	// A process unknown to this leader may be alive, unless a known process owns the address.
 	if !slices.ContainsFunc(processes, func(p *process) bool { return p.heartbeat.OwnsAddress }) {
 		if m.IsolationPolicy != StopWhenIsolated && len(processes) == 0 {
@@ -212,6 +247,27 @@
 	return FenceWait{}, false
 }
 
+// refusedWait returns whether a fence waits for a process of the member that has no lease and may act alone: one
+// that another process keeps from its name, or a newer one that only that process has told of.
+func (lm *LeaseManager) refusedWait(version uint64, m Member) (FenceWait, bool) {
+	if m.IsolationPolicy == StopWhenIsolated {
+		return FenceWait{}, false
+	}
+	newest := lm.newestProcess(m.Name)
+	for _, p := range lm.refused[m.Name] {
+		// A later process that owns the address: p is dead.
+		dead := newest != nil && newest.heartbeat.OwnsAddress && newest.startedAt > p.startedAt
+		if !dead && !p.isPast(version) {
+			return FenceWait{Reason: fmt.Sprintf("its process at %s has version %d in force and %d in its folder, and serves alone", p.heartbeat.Address,
+				p.heartbeat.ActiveVersion, p.heartbeat.SavedVersion), Remaining: -1}, true
+		}
+	}
+	if newest != nil && newest.heartbeat.HasSuccessor && len(lm.refused[m.Name]) == 0 {
+		return FenceWait{Reason: "a newer process of it was not heard of yet, and it serves alone", Remaining: -1}, true
+	}
+	return FenceWait{}, false
+}
+
 // FenceStatus returns the Unix time since which no member acts on versions before the given one, or the
 // members that the fence waits for. Once complete, a fence stays complete.
 func (lm *LeaseManager) FenceStatus(now, unixNow float64, version uint64, s *State) (completeAt float64, waits []FenceWait) {
--- a/internal/fleet/model_test.go
+++ b/internal/fleet/model_test.go
@@ -50,6 +50,7 @@
 	elections     int
 	crashes       int
 	losses        int
+	admitted      int // the process whose address is admitted, where one member has two
 	members       [modelMembers]modelMember
 }
 
@@ -61,6 +62,7 @@
 	ignoresOldLeases bool // a new leader ignores leases granted before its election
 	fenceByMajority  bool // a fence is reported complete once a majority has the version
 	reportsUnsaved   bool // a version is reported as saved before it is
+	oneProcess       bool // the leader counts one process of each member
 }
 
 type checker struct {
@@ -72,6 +74,9 @@
 	seed      maphash.Seed
 	maxStates int
 	members   int // number of members
+	// The two members are an older and a newer process of one member, which have addresses of their own and share
+	// its directory. The newer one starts later.
+	replaced  bool
 	mu        sync.Mutex
 	violation string
 }
@@ -103,7 +108,7 @@
 }
 
 func (lm *LeaseManager) clone() *LeaseManager {
-	c := &LeaseManager{timing: lm.timing, electedAt: lm.electedAt, processes: map[string][]*process{}, fenceCompleteAt: maps.Clone(lm.fenceCompleteAt), probeResults: map[string]string{}, runs: map[string][]RunRecord{}}
+	c := &LeaseManager{timing: lm.timing, electedAt: lm.electedAt, processes: map[string][]*process{}, refused: maps.Clone(lm.refused), fenceCompleteAt: maps.Clone(lm.fenceCompleteAt), probeResults: map[string]string{}, runs: map[string][]RunRecord{}}
 	for name, all := range lm.processes {
 		for _, p := range all {
 			q := *p
@@ -120,6 +125,88 @@
 
 func modelName(k int) string { return fmt.Sprint("m", k) }
 
+// The processes of a member that is being replaced.
+const (
+	olderProcess = iota
+	newerProcess
+)
+
+// name returns the name of a member, which two processes may share.
+func (c *checker) name(k int) string {
+	if c.replaced {
+		return modelName(0)
+	}
+	return modelName(k)
+}
+
+// stateOf returns the leader's history.
+func (c *checker) stateOf(m *model) *State { return c.states[m.state+2*m.admitted] }
+
+// handle delivers a heartbeat to the leader, which admits the process if need be.
+func (c *checker) handle(m *model, k int, hb Heartbeat) LeaseRenewal {
+	m.leases = m.leases.clone()
+	r, notAdmitted := m.leases.HandleHeartbeat(m.now, hb, c.stateOf(m))
+	if c.replaced && notAdmitted {
+		m.admitted = k
+		r, _ = m.leases.HandleHeartbeat(m.now, hb, c.stateOf(m))
+	}
+	if c.variant.oneProcess {
+		m.leases.refused = map[string][]*process{}
+	}
+	return r
+}
+
+// newReplacedChecker returns a checker of one member that serves alone and whose process is replaced.
+func newReplacedChecker(t *testing.T, variant faultyVariant, maxStates int) *checker {
+	c := newChecker(t, variant, ServeWhenIsolated, 1, maxStates)
+	c.members, c.replaced = 2, true
+	c.states = nil
+	for k := range c.members {
+		s := NewState("f")
+		for _, command := range []Command{
+			{Kind: AdmitMember, Member: modelName(0), Address: modelName(0), IsolationPolicy: c.policy, RunID: "1"},
+			{Kind: AdmitMember, Member: modelName(0), Address: modelName(k), IsolationPolicy: c.policy, RunID: "0"},
+		} {
+			if _, _, err := s.Apply(command); err != nil {
+				t.Fatal(err)
+			}
+		}
+		c.states = append(c.states, s.Clone())
+		if _, _, err := s.Apply(Command{Kind: PublishVersion, Text: []byte("{}"), Fence: true}); err != nil {
+			t.Fatal(err)
+		}
+		c.states = append(c.states, s)
+	}
+	return c
+}
+
+// replacements generates the states that follow by the replacement of a member's process.
+func (c *checker) replacements(m *model, do func(func(*model))) {
+	older, newer := &m.members[olderProcess], &m.members[newerProcess]
+	if older.up && !newer.up {
+		do(func(m *model) { // the newer process starts, from the directory
+			saved := m.members[olderProcess].saved
+			m.members[newerProcess] = modelMember{up: true, run: newerProcess, saved: saved, holder: *NewLeaseHolder(modelTiming, modelName(0), "1.0.0", c.policy, c.states[saved], m.now)}
+			m.members[newerProcess].holder.NextVersion()
+		})
+	}
+	if older.up && newer.up {
+		do(func(m *model) { // the older process is killed
+			m.members[olderProcess].up, m.members[olderProcess].reply = false, modelReply{}
+		})
+		do(func(m *model) { // it ends in order
+			x := &m.members[olderProcess]
+			x.heartbeat = &modelHeartbeat{sent: m.now, heartbeat: c.newHeartbeat(m, olderProcess, true)}
+			x.up, x.reply = false, modelReply{}
+		})
+	}
+}
+
+// maySave reports whether a process has the directory, which the older process of a member locks while it is up.
+func (c *checker) maySave(m *model, k int) bool {
+	return !c.replaced || k == olderProcess || !m.members[olderProcess].up
+}
+
 func newChecker(t *testing.T, variant faultyVariant, policy IsolationPolicy, members, maxStates int) *checker {
 	c := &checker{t: t, members: members, variant: variant, policy: policy, seed: maphash.MakeSeed(), maxStates: maxStates}
 	s := NewState("f")
@@ -141,7 +228,10 @@
 func (c *checker) start() *model {
 	m := &model{now: 0, leases: NewLeaseManager(modelTiming, 0)}
 	for k := range m.members[:c.members] {
-		m.members[k] = modelMember{up: true, holder: *NewLeaseHolder(modelTiming, modelName(k), "1.0.0", c.policy, c.states[0], 0)}
+		m.members[k] = modelMember{up: true, holder: *NewLeaseHolder(modelTiming, c.name(k), "1.0.0", c.policy, c.states[0], 0)}
+	}
+	if c.replaced {
+		m.members[newerProcess] = modelMember{run: newerProcess, holder: m.members[newerProcess].holder}
 	}
 	return m
 }
@@ -162,21 +252,24 @@
 		}
 		return 0
 	}
-	num(m.now, float64(m.state), float64(m.elections), float64(m.crashes), float64(m.losses), yes(m.fenceReported), rel(m.leases.electedAt))
+	num(m.now, float64(m.state), float64(m.admitted), float64(m.elections), float64(m.crashes), float64(m.losses), yes(m.fenceReported), rel(m.leases.electedAt))
 	for k := range m.members[:c.members] {
 		x := &m.members[k]
 		num(yes(x.up), float64(x.run), float64(x.saved), rel(x.holder.leaseExpiry), float64(x.holder.activeVersion), float64(x.holder.pendingVersion), float64(x.holder.state.NewestVersion()), float64(x.holder.fencedVersion),
 			yes(x.heartbeat != nil), yes(x.reply.inFlight))
 		if x.heartbeat != nil {
-			num(rel(x.heartbeat.sent), float64(x.heartbeat.heartbeat.ActiveVersion), float64(x.heartbeat.heartbeat.SavedVersion), yes(x.heartbeat.heartbeat.Leaving))
+			num(rel(x.heartbeat.sent), float64(x.heartbeat.heartbeat.ActiveVersion), float64(x.heartbeat.heartbeat.SavedVersion), yes(x.heartbeat.heartbeat.Leaving), yes(x.heartbeat.heartbeat.HasSuccessor), yes(x.heartbeat.heartbeat.OwnsAddress))
 			h.WriteString(x.heartbeat.heartbeat.RunID)
 		}
 		if x.reply.inFlight {
 			num(rel(x.reply.sent), x.reply.renewal.Granted, float64(x.reply.renewal.FencedVersion))
 		}
-		for _, p := range m.leases.processes[modelName(k)] {
-			h.WriteString(p.heartbeat.RunID)
-			num(rel(p.leaseExpiry), rel(p.lastContact), float64(p.heartbeat.ActiveVersion), float64(p.heartbeat.SavedVersion), yes(p.heartbeat.Leaving))
+		for _, processes := range [][]*process{m.leases.processes[c.name(k)], m.leases.refused[c.name(k)]} {
+			num(float64(len(processes)))
+			for _, p := range processes {
+				h.WriteString(p.heartbeat.RunID)
+				num(rel(p.leaseExpiry), rel(p.lastContact), float64(p.heartbeat.ActiveVersion), float64(p.heartbeat.SavedVersion), yes(p.heartbeat.Leaving), yes(p.heartbeat.HasSuccessor), yes(p.heartbeat.OwnsAddress))
+			}
 		}
 	}
 	return h.Sum64()
@@ -232,8 +325,7 @@
 		if x.heartbeat != nil {
 			do(func(m *model) { // it arrives, and a quorum confirms the leader
 				y := &m.members[k]
-				m.leases = m.leases.clone()
-				r, _ := m.leases.HandleHeartbeat(m.now, y.heartbeat.heartbeat, c.states[m.state])
+				r := c.handle(m, k, y.heartbeat.heartbeat)
 				if y.up && fmt.Sprint(y.run) == y.heartbeat.heartbeat.RunID {
 					y.reply = modelReply{true, r, y.heartbeat.sent}
 				}
@@ -265,10 +357,10 @@
 			do(func(m *model) { m.members[k].holder.VersionApplied(m.members[k].holder.pendingVersion) })
 		}
 		// A directory matters only to a member that may act without a lease; of the others it may be older.
-		if x.up && c.policy == ServeWhenIsolated && c.states[x.saved].LastSeq() < x.holder.state.LastSeq() {
+		if x.up && c.policy == ServeWhenIsolated && c.states[x.saved].LastSeq() < x.holder.state.LastSeq() && c.maySave(m, k) {
 			do(func(m *model) { m.members[k].saved = 1 })
 		}
-		if x.up && m.crashes < 1 {
+		if x.up && m.crashes < 1 && !c.replaced {
 			do(func(m *model) { c.restart(m, k) }) // killed
 			if c.policy == ServeWhenIsolated {
 				do(func(m *model) { // it ends in order
@@ -278,6 +370,9 @@
 			}
 		}
 	}
+	if c.replaced {
+		c.replacements(m, do)
+	}
 	if m.state == 0 {
 		do(func(m *model) { m.state = 1 })
 	}
@@ -297,9 +392,14 @@
 
 // newHeartbeat returns a member's heartbeat.
 func (c *checker) newHeartbeat(m *model, k int, leaving bool) Heartbeat {
-	x, name := &m.members[k], modelName(k)
-	return Heartbeat{Fleet: "f", Format: FormatVersion, Member: name, Address: name, RunID: fmt.Sprint(x.run), OwnsAddress: true, IsolationPolicy: c.policy,
+	x := &m.members[k]
+	hb := Heartbeat{Fleet: "f", Format: FormatVersion, Member: c.name(k), Address: modelName(k), RunID: fmt.Sprint(x.run), OwnsAddress: c.maySave(m, k), IsolationPolicy: c.policy,
 		LastSeq: x.holder.state.LastSeq(), ActiveVersion: x.holder.activeVersion, SavedVersion: c.savedVersion(x), Leaving: leaving, Lease: 4}
+	if c.replaced {
+		hb.Runs = []RunRecord{{ID: hb.RunID, StartedAt: float64(k + 1)}}
+		hb.HasSuccessor = k == olderProcess && m.members[newerProcess].up && !c.variant.oneProcess
+	}
+	return hb
 }
 
 // restart starts a member's next process, from its directory.
@@ -324,7 +424,7 @@
 // reports the fence if it is complete.
 func (c *checker) checkFence(m *model) {
 	if m.state == 1 && !m.fenceReported {
-		at, waits := m.leases.clone().FenceStatus(m.now, m.now+1, 1, c.states[1])
+		at, waits := m.leases.clone().FenceStatus(m.now, m.now+1, 1, c.stateOf(m))
 		if c.variant.fenceByMajority && len(waits) <= c.members/2 {
 			at = m.now + 1
 		}
@@ -362,6 +462,18 @@
 			t.Fatal(c.violation)
 		}
 	}
+	replaced := newReplacedChecker(t, faultyVariant{}, 1_000_000)
+	depth := replaced.explore(replaced.start())
+	t.Logf("one member whose process is replaced: %d states, %d steps", replaced.size(), depth)
+	if replaced.violation != "" {
+		t.Fatal(replaced.violation)
+	}
+	replaced = newReplacedChecker(t, faultyVariant{oneProcess: true}, 1_000_000)
+	depth = replaced.explore(replaced.start())
+	if replaced.violation == "" {
+		t.Errorf("one process of a member counted: not detected in %d states", replaced.size())
+	}
+	t.Logf("one process of a member counted: detected after %d states and %d steps: %s", replaced.size(), depth, replaced.violation)
 	for what, r := range map[string]struct {
 		variant faultyVariant
 		policy  IsolationPolicy
--- a/internal/fleetagent/agent.go
+++ b/internal/fleetagent/agent.go
@@ -37,6 +37,8 @@
 	Clock           Clock
 	Voter           fleetrpc.VoterService // the voter of this process; nil: none
 	OwnsAddress     func() bool           // reports whether this process listens on the member's address
+	OwnAddress      bool                  // each process of the member has an address of its own
+	HasSuccessor    func() bool           // reports whether a newer process of the member is there; nil: there is none
 	// ApplyVersion starts to activate a version. It calls applied once, from any goroutine, when no writes
 	// begun under an older version are outstanding; pendingRestart names the settings that need a restart. An error
 	// means that the version cannot be activated.
@@ -68,6 +70,7 @@
 
 	mu               sync.Mutex // guards the fields below
 	savedVersion     uint64     // newest version in the directory
+	ownsDir          bool       // this process has locked the directory: earlier ones have ended
 	holder           *fleet.LeaseHolder
 	rng              *rand.Rand
 	leaderAddr       string // address of the last known leader
@@ -225,7 +228,7 @@
 // newHeartbeat returns the current heartbeat. The caller holds the lock.
 func (a *Agent) newHeartbeat(leaving bool) fleet.Heartbeat {
 	s := a.holder.State()
-	b := fleet.Heartbeat{Fleet: a.opts.Fleet, Format: fleet.FormatVersion, Member: a.opts.Name, Address: a.opts.Address, RunID: a.opts.RunID, OwnsAddress: a.opts.OwnsAddress(),
+	b := fleet.Heartbeat{Fleet: a.opts.Fleet, Format: fleet.FormatVersion, Member: a.opts.Name, Address: a.opts.Address, RunID: a.opts.RunID, OwnsAddress: a.opts.OwnsAddress() && (!a.opts.OwnAddress || a.ownsDir), HasSuccessor: a.opts.HasSuccessor != nil && a.opts.HasSuccessor(),
 		IsolationPolicy: a.opts.IsolationPolicy, ProgramVersion: a.opts.ProgramVersion, LastSeq: s.LastSeq(), Digest: s.Digest(), ActiveVersion: a.holder.ActiveVersion(), SavedVersion: a.savedVersion, Leaving: leaving,
 		StalledFor: a.guard.stalledFor, PendingRestart: a.pendingRestart, Lease: a.opts.Timing.Lease, Drift: a.opts.Timing.Drift}
 	b.RefusedVersion, b.Problem = a.holder.RefusedVersion()
@@ -426,13 +429,14 @@
 	a.recordSaved(s, a.dir.write(s, runs))
 }
 
-// recordSaved records that a state is saved.
+// recordSaved records whether a state is saved, and that this process has the directory. It is called by the
+// goroutine that writes it.
 func (a *Agent) recordSaved(s *fleet.State, saved bool) {
-	if !saved {
-		return
-	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.ownsDir = a.dir.locked; !saved {
+		return
+	}
 	a.savedVersion = max(a.savedVersion, s.NewestVersion())
 }
 
--- a/internal/program/fleet_member.go
+++ b/internal/program/fleet_member.go
@@ -124,8 +124,10 @@
 	runID      string
 	seed       uint64
 	startVoter StartVoter
-	stop       chan struct{}
-	goroutines sync.WaitGroup
+	// reports whether a newer process of this dispatcher is there; nil: none can be
+	hasSuccessor func() bool
+	stop         chan struct{}
+	goroutines   sync.WaitGroup
 
 	addressBound atomic.Bool // whether this process listens at the member's address
 	mu           sync.Mutex
@@ -233,7 +235,7 @@
 		return
 	}
 	p.agent = fleetagent.Start(fleetagent.Options{Fleet: p.membership.Fleet, Name: p.membership.Name, Address: addr, IsolationPolicy: p.membership.WhenIsolated, Voters: p.membership.Voters, AddressMap: p.membership.AddressMap, Dir: p.membership.Folder,
-		Timing: p.membership.Timing, ProgramVersion: release, RunID: p.runID, Seed: p.seed, Clock: p.clock, Voter: voter, OwnsAddress: p.addressBound.Load, ApplyVersion: p.active.applyVersion, CheckVersion: p.active.checkVersion}, p.guard)
+		Timing: p.membership.Timing, ProgramVersion: release, RunID: p.runID, Seed: p.seed, Clock: p.clock, Voter: voter, OwnsAddress: p.addressBound.Load, OwnAddress: p.membership.AnyPort(), HasSuccessor: p.hasSuccessor, ApplyVersion: p.active.applyVersion, CheckVersion: p.active.checkVersion}, p.guard)
 }
 
 // close stops the fleet's components, after the dispatcher has ended.
--- a/internal/program/serve.go
+++ b/internal/program/serve.go
@@ -137,6 +137,9 @@
 		if fleetMember, err = newFleetMember(operator.Fleet, c.Config, active, startVoter); err != nil {
 			return err
 		}
+		if exchange != nil {
+			fleetMember.hasSuccessor = exchange.HasSuccessor
+		}
 		defer fleetMember.close()
 		nodeOptions.Guard, options.Guard = fleetMember.guard, fleetMember.guard
 		options.MaxSockets -= fleetMember.maxDescriptors()
--- a/internal/takeover/exchange.go
+++ b/internal/takeover/exchange.go
@@ -77,7 +77,8 @@
 	ownSocket         fs.FileInfo // file of the socket at path while it belongs to this process
 	closed            bool
 	overlaps          atomic.Bool // another process accepts jobs as well
-	predecessorGoneAt time.Time   // when the link to the predecessor ended
+	hasSuccessor      atomic.Bool
+	predecessorGoneAt time.Time // when the link to the predecessor ended
 	goroutines        sync.WaitGroup
 }
 
@@ -200,7 +201,10 @@
 // on the other process: its write takes up to writeTimeout, after any writes to the link that are in
 // progress.
 func (x *Exchange) perform(actions []Action, exportState func() []byte) {
-	defer func() { x.overlaps.Store(len(x.overlapping()) > 0) }()
+	defer func() {
+		x.overlaps.Store(len(x.overlapping()) > 0)
+		x.hasSuccessor.Store(x.successor != nil)
+	}()
 	for _, a := range actions {
 		switch a {
 		case StartAccepting:
@@ -432,6 +436,9 @@
 // Overlaps reports whether another process accepts jobs as well. It never waits.
 func (x *Exchange) Overlaps() bool { return x.overlaps.Load() }
 
+// HasSuccessor reports whether a newer process is connected. It never waits.
+func (x *Exchange) HasSuccessor() bool { return x.hasSuccessor.Load() }
+
 // ShareID tells the other processes that accept jobs of the ID of a job that this one has accepted. It may block
 // for writeTimeout. An ID that cannot be told is lost: the link ends then.
 func (x *Exchange) ShareID(id string) {
