The audit tells the time before a process's newest 32 versions as unknown

What was dropped had neither a line nor an unknown span.

Change: a record tells until when it has dropped, and the audit tells that time as unknown.

--- a/internal/fleet/actions.go
+++ b/internal/fleet/actions.go
@@ -59,6 +59,8 @@
 	KnownUntil float64          `cbor:"3,keyasint" json:"known_until_ms"`
 	CleanExit  bool             `cbor:"4,keyasint,omitempty" json:"ended"`
 	Versions   []VersionActions `cbor:"5,keyasint" json:"versions"`
+	// What the process did before this time, under versions that it has dropped, is unknown; 0: it has dropped none.
+	DroppedUntil float64 `cbor:"6,keyasint,omitempty" json:"dropped_until_ms,omitempty"`
 }
 
 const (
@@ -74,6 +76,7 @@
 	r.Versions = append(r.Versions, VersionActions{Version: version, ActiveSince: now})
 	if over := len(r.Versions) - maxRunVersions; over > 0 {
 		r.Versions = slices.Delete(r.Versions, 0, over)
+		r.DroppedUntil = r.Versions[0].ActiveSince // actions count under the newest version, so the others ended by then
 	}
 }
 
--- a/internal/fleet/audit.go
+++ b/internal/fleet/audit.go
@@ -32,8 +32,8 @@
 	Evidence Evidence       `cbor:"4,keyasint" json:"evidence"`
 }
 
-// ReportGap is an interval of a member that no report covers. AfterRunID is the last run before the gap;
-// empty: the gap precedes all known runs.
+// ReportGap is an interval of a member that no report covers. AfterRunID is the run that had begun last before the
+// gap; empty: the gap precedes all known runs.
 type ReportGap struct {
 	Member     string   `cbor:"1,keyasint" json:"member"`
 	AfterRunID string   `cbor:"2,keyasint" json:"after_run"`
@@ -108,8 +108,8 @@
 	return a
 }
 
-// gaps returns the intervals that no report covers: after a run without a clean exit, until the start of the
-// next run, or until now if the member is silent.
+// gaps returns the intervals that no report covers: before the oldest version that a run still reports, and after
+// a run without a clean exit, until the start of the next run, or until now if the member is silent.
 func (lm *LeaseManager) gaps(now float64, s *State) (all []ReportGap) {
 	for _, m := range s.Members() {
 		starts, reported := slices.Clone(m.Runs), map[string]RunRecord{}
@@ -127,6 +127,9 @@
 		}
 		for k, x := range starts {
 			run, isReported := reported[x.RunID]
+			if run.DroppedUntil > 0 {
+				all = append(all, ReportGap{Member: m.Name, AfterRunID: x.RunID, Interval: Interval{From: x.StartedAt, To: run.DroppedUntil}})
+			}
 			g := ReportGap{Member: m.Name, AfterRunID: x.RunID, Interval: Interval{From: max(run.KnownUntil, x.StartedAt)}}
 			p := lm.newestProcess(m.Name)
 			switch {
