A version without a discovery address leaves discovery where a reload has moved it

Cause: the merge of a version took ROUTER_DISCOVERY before the process's own address, also after a reload, against the README, by which the file then goes first.

Change: it keeps the process's own address: ROUTER_DISCOVERY's or the file's at the start, then the file's.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -91,8 +91,8 @@
 	return c, err
 }
 
-// Reload reads and checks the file again. It ignores ROUTER_DISCOVERY, as the file's value is newer; Overlay
-// doesn't ignore it. needsRestart lists what differs from old and takes effect only after a restart: keys of
+// Reload reads and checks the file again. It ignores ROUTER_DISCOVERY, as the file's value is newer.
+// needsRestart lists what differs from old and takes effect only after a restart: keys of
 // settings with the prefix "settings.", and names of Config fields for the rest.
 func Reload(getenv func(string) string, old Config) (c Config, needsRestart []string, err error) {
 	if c, err = load(getenv, ""); err != nil {
--- a/internal/config/fleet.go
+++ b/internal/config/fleet.go
@@ -155,8 +155,8 @@
 }
 
 // Overlay merges a configuration version (a JSON merge patch, RFC 7386) over own.Text, the text of this
-// process's configuration file. ROUTER_DISCOVERY overrides the file's address of discovery, also after a
-// reload, unless the version has the key. The result keeps own's Text, which is the unmerged one, and own's
+// process's configuration file. A version without the key leaves discovery at own's address: ROUTER_DISCOVERY's
+// or the file's at the start, and the file's after a reload. The result keeps own's Text, which is the unmerged one, and own's
 // Seed and Temp, which stay as they were at the start. needsRestart names the settings that differ from own's
 // and take effect only after a restart. An error names the key at fault.
 func Overlay(own Config, getenv func(string) string, version []byte) (c Config, needsRestart []string, err error) {
@@ -182,8 +182,8 @@
 	}
 	if c, err = parse(text, func(f *file) {
 		overrideFromEnv(f, getenv)
-		if at := getenv("ROUTER_DISCOVERY"); at != "" && patch["discovery"] == nil {
-			f.Discovery = at
+		if patch["discovery"] == nil {
+			f.Discovery = own.Discovery.String()
 		}
 	}); err != nil {
 		return c, nil, err
--- a/internal/config/fleet_test.go
+++ b/internal/config/fleet_test.go
@@ -93,11 +93,39 @@
 			t.Errorf("%s: %+v", c.version, v)
 		}
 	}
-	set := func(name string) string { return map[string]string{"ROUTER_DISCOVERY": "127.0.0.1:8"}[name] }
-	if v, _, err := Overlay(base, set, []byte(`{}`)); err != nil || v.Discovery.Port() != 8 {
-		t.Errorf("a version without a discovery address: %v %v", v.Discovery, err)
+}
+
+// TestOverlayKeepsDiscovery guards against a version without a discovery address that moves discovery back from
+// where a reload has moved it.
+func TestOverlayKeepsDiscovery(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	text, err := os.ReadFile("../../example/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	set := func(name string) string {
+		return map[string]string{"ROUTER_CONFIG": path, "ROUTER_DISCOVERY": "127.0.0.1:8"}[name]
+	}
+	started, err := Load(set)
+	if err != nil {
+		t.Fatal(err)
+	}
+	reloaded, _, err := Reload(set, started)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, own := range map[string]Config{"started": started, "reloaded": reloaded} {
+		if v, _, err := Overlay(own, set, []byte(`{}`)); err != nil || v.Discovery != own.Discovery {
+			t.Errorf("%s: a version without a discovery address: %v %v, want %v", name, v.Discovery, err, own.Discovery)
+		}
+		if v, _, err := Overlay(own, set, []byte(`{"discovery":"127.0.0.1:9"}`)); err != nil || v.Discovery.Port() != 9 {
+			t.Errorf("%s: a version with a discovery address: %v %v", name, v.Discovery, err)
+		}
 	}
-	if v, _, err := Overlay(base, set, []byte(`{"discovery":"127.0.0.1:9"}`)); err != nil || v.Discovery.Port() != 9 {
-		t.Errorf("the version's discovery address must override ROUTER_DISCOVERY: %v %v", v.Discovery, err)
+	if started.Discovery.Port() != 8 || reloaded.Discovery.Port() == 8 {
+		t.Errorf("ROUTER_DISCOVERY goes first at the start, the file after a reload: %v, %v", started.Discovery, reloaded.Discovery)
 	}
 }
