A reload at the same discovery address leaves the open watch alone

Cause: each reload closed all watches and forgot the revision, also where the address stayed.

Change: an open watch at the same address goes on; where none is open, one is opened at once.

The trace of "discovery moves" has one watch fewer: the address was the same there. The test's script logs answers of one instant by id, as the map's order made the trace differ between runs.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -648,8 +648,12 @@
 		n.watchEnded(v.Watch)
 	case DiscoveryMoved:
 		// The list from the old address stays in use until the new one has sent its complete list: it may
-		// count revisions differently. The same address is asked again, too.
+		// count revisions differently. At the same address a watch that is open goes on: reloads in quick
+		// succession would otherwise keep a slow discovery from answering any.
 		n.log.Info("moved", "discovery", v.Discovery, "was", n.discoveryAddr, "phase", n.Phase())
+		if v.Discovery == n.discoveryAddr && len(n.openWatches) > 0 {
+			return
+		}
 		n.discoveryAddr, n.revision = v.Discovery, FullList
 		n.closeWatches(0)
 		n.openWatch()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"strings"
 	"testing"
 
@@ -65,7 +67,8 @@
 	if len(s.inbox) > 0 || s.timerFired {
 		s.round()
 	}
-	for id, c := range s.clients {
+	for _, id := range slices.Sorted(maps.Keys(s.clients)) {
+		c := s.clients[id]
 		if got := s.replies[c]; len(got) > 0 {
 			s.logf("answer %s: %d %q pause %v", id, got[0].Result, got[0].Body, got[0].RetryAfter > 0)
 			s.replies[c] = got[1:]
@@ -207,6 +210,15 @@
 			s.at(3900)
 			s.logf("phase %s", s.Phase())
 		}},
+		{"discovery answers slowly, and is told to move to where it is: the watch that is open goes on", func(s *script) {
+			for range 6 {
+				s.at(s.now+100, DiscoveryMoved{"here"})
+			}
+			s.at(1700, DiscoveryUpdate{Watch: 1, Revision: 5, Complete: true, Members: []Member{member("w1", dispatch.Draining)}})
+			s.at(1750, s.client("a", 0, 2000), DiscoveryMoved{"here"})
+			s.at(1800, WatchEnded{s.newestWatch})
+			s.at(1810, DiscoveryMoved{"here"}) // none is open: asked at once
+		}},
 		{"told to stop: takes work a little longer, then defers; ends when all is answered", func(s *script) {
 			s.at(1010, DiscoveryUpdate{Watch: 1, Revision: 5}, s.client("a", 0, 2000))
 			s.at(1020, Stop{})
--- a/internal/program/fleet_member.go
+++ b/internal/program/fleet_member.go
@@ -72,7 +72,7 @@
 	if changed {
 		f.node.Enqueue(node.ConfigChanged{Settings: updated.Settings, MaxOpen: f.limitClients(updated.Links.MaxOpen), Mark: updated.Mark})
 	}
-	f.node.Enqueue(node.DiscoveryMoved{Discovery: updated.Discovery.String()}) // an unchanged address is queried again as well
+	f.node.Enqueue(node.DiscoveryMoved{Discovery: updated.Discovery.String()}) // at an unchanged address an open watch goes on
 }
 
 // applyVersion brings a version of the fleet into force. applied is called in a goroutine of its own, once
