The time of a request sent ahead counts from when it arrived

Cause: the time counted from when the request ahead was answered.

Change: a connection keeps when its bytes arrived, and a request's time counts from its last byte.

--- a/cmd/weldmast/ahead_test.go
+++ b/cmd/weldmast/ahead_test.go
@@ -121,3 +121,37 @@
 		t.Error("a worker received a job that no client sent")
 	}
 }
+
+// TestRequestsAheadExpire guards against a request whose time counts from when the one ahead of it was answered:
+// its client gets its answer long after its time, and a worker is told a time that is over.
+func TestRequestsAheadExpire(t *testing.T) {
+	const jobs, running, deadline = 8, 300 * time.Millisecond, 700 * time.Millisecond
+	e := newTestEnv(t)
+	var addr string
+	addr = e.startWorker("w1", func(j job) {
+		accept(j)
+		go func() {
+			e.callback(j.id, "w1", "started", "")
+			time.Sleep(running)
+			e.callback(j.id, "w1", "done", "")
+		}()
+	})
+	e.publish(memberList(1, true, memberEntry("w1", addr, "in_service")))
+	e.start()
+	c := e.dial()
+	var text strings.Builder
+	for k := range jobs {
+		text.WriteString(request(fmt.Sprint("job-", k), "/plan/x", fmt.Sprintf("X-Deadline: %.1f\r\n", deadline.Seconds())))
+	}
+	begun := time.Now()
+	io.WriteString(c, text.String())
+	const slack = 250 * time.Millisecond // the answer's own, and the machine's
+	for k := range jobs {
+		answer := c.answer()
+		if took := time.Since(begun); took > deadline+slack || answer == "no answer" {
+			t.Errorf("job %d: %s after %s", k, answer, took)
+		} else if k == 0 && answer != "200" {
+			t.Errorf("the first job: %s", answer)
+		}
+	}
+}
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -139,6 +139,8 @@
 	watchDone        chan struct{} // closed when the watch has ended
 	watchStopping    atomic.Bool   // the watch is to end
 	pacer            pacer         // used by the goroutine that reads
+	arrivals         arrivalQueue  // of the pipelined bytes
+	lastByteAt       time.Time     // time when the last byte arrived that Read returned
 }
 
 // Read returns the bytes that arrived. A connection closed for being idle returns none, so that no request is
@@ -149,7 +151,8 @@
 		return 0, errHeadEnd
 	}
 	c.pace()
-	if len(c.pipelined) > 0 {
+	kept := len(c.pipelined) > 0
+	if kept {
 		n = c.takePipelined(p)
 	} else if n, err = c.readSocket(p); n == 0 && c.giveAway(err) {
 		return 0, io.EOF
@@ -172,6 +175,9 @@
 	}
 	if n > 0 {
 		c.recordRead()
+		if !kept {
+			c.lastByteAt = c.lastRead
+		}
 	}
 	return n, err
 }
@@ -398,6 +404,7 @@
 		return
 	}
 	c.pipelined = append(c.pipelined, p...)
+	c.arrivals.add(len(p), time.Now())
 }
 
 // reservePipelined reserves memory for bytes that are sent ahead. It returns false if there is too little.
@@ -423,6 +430,7 @@
 // takePipelined moves pipelined bytes to p and returns how many there were.
 func (c *clientConn) takePipelined(p []byte) int {
 	n := copy(p, c.pipelined)
+	c.lastByteAt = c.arrivals.take(n, time.Now())
 	if c.pipelined = c.pipelined[n:]; len(c.pipelined) == 0 {
 		c.dropPipelined()
 	}
@@ -430,11 +438,15 @@
 }
 
 // unread puts bytes back that were read last.
-func (c *clientConn) unread(p []byte) { c.pipelined = append(slices.Clone(p), c.pipelined...) }
+func (c *clientConn) unread(p []byte) {
+	c.pipelined = append(slices.Clone(p), c.pipelined...)
+	c.arrivals.putBack(len(p), c.lastByteAt)
+}
 
 // dropPipelined drops the pipelined bytes and releases their memory.
 func (c *clientConn) dropPipelined() {
 	c.pipelined = nil
+	c.arrivals.clear()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.releasePipelined()
--- a/internal/transport/jobs.go
+++ b/internal/transport/jobs.go
@@ -35,7 +35,7 @@
 	} else {
 		m.setBody(body)
 	}
-	job.Message, job.ContentDropped, job.Expiry = m, noMemory, c.node.Now()+h.timeLeft
+	job.Message, job.ContentDropped, job.Expiry = m, noMemory, c.node.Now()+h.timeLeft-conn.sinceLastByte()
 	reply := conn.expectReply(job)
 	c.metrics.JobAccepted()
 	s.releaseBuffer(false)
