--- a/cmd/weldmast/memory_test.go
+++ b/cmd/weldmast/memory_test.go
@@ -305,13 +305,19 @@
 	}
 	var usual sync.WaitGroup
 	var served, refused atomic.Int64
+	var mu sync.Mutex
+	others := map[string]int{}
 	for k := range usualJobs {
 		usual.Go(func() {
-			switch e.usualJob(fmt.Sprintf("usual-%s-%d", strings.ReplaceAll(f.name, " ", "-"), k)) {
+			switch answer := e.usualJob(fmt.Sprintf("usual-%s-%d", strings.ReplaceAll(f.name, " ", "-"), k)); answer {
 			case "200":
 				served.Add(1)
 			case "503":
 				refused.Add(1)
+			default:
+				mu.Lock()
+				others[answer]++
+				mu.Unlock()
 			}
 		})
 		time.Sleep(interval)
@@ -329,7 +335,7 @@
 	})
 	e.t.Logf("%d MB, %s: peak %d KB, of %d usual jobs %d served, %d refused", e.memoryMB, f.name, e.peakMemory(), usualJobs, served.Load(), refused.Load())
 	if served.Load() < usualJobs/2 || served.Load()+refused.Load() < usualJobs {
-		e.t.Errorf("%s: of %d usual jobs %d were served, %d refused", f.name, usualJobs, served.Load(), refused.Load())
+		e.t.Errorf("%s: of %d usual jobs %d were served, %d refused, others %v", f.name, usualJobs, served.Load(), refused.Load(), others)
 	}
 	if unended.Load() > 0 {
 		e.t.Errorf("%s: %d clients got neither an answer nor a close", f.name, unended.Load())
