A new connection is not closed while only unread requests stand before it

Suspected: a new connection that found no room in 0.1 s was closed although only unread requests stood before it; and large requests that a busy machine takes over 0.25 s for counted as slow writers.

Change: such a connection stays beyond the limit, by an eighth of it at most; a request is slow after 1 s.

--- a/internal/transport/eviction.go
+++ b/internal/transport/eviction.go
@@ -11,11 +11,16 @@
 const (
 	// A usual client sends its request within this time after it has connected.
 	newcomerGrace = 250 * time.Millisecond
+	// A request that arrives for longer is slow. A process or a client that is busy takes hundreds of milliseconds
+	// for large ones.
+	slowRequestTime = time.Second
 	// If more than this part of all connections send their first request slowly, they go before newcomers.
 	slowMajority = 0.5
 	// Time that a new connection waits for room while others are about to read what has arrived for them.
 	makeRoomWait  = 100 * time.Millisecond
 	makeRoomRetry = time.Millisecond
+	// Connections beyond the limit, as a part of it, that may stay while none can be evicted.
+	overshootShare = 8
 	// Connections that are looked at for unread bytes, in order, before none counts as evictable.
 	maxEvictionTries = 8
 )
@@ -48,7 +53,7 @@
 // sendsSlowly reports whether the first request of an unproven connection has been arriving for longer than a
 // usual client takes.
 func (p evictionPriority) sendsSlowly(now time.Time) bool {
-	return p.rank == rankReceiving && !p.proven && now.Sub(p.since) > newcomerGrace
+	return p.rank == rankReceiving && !p.proven && now.Sub(p.since) > slowRequestTime
 }
 
 // evictionCandidate is a connection with its priority.
@@ -62,20 +67,32 @@
 
 // makeRoom evicts connections while there are too many. While unproven ones only read what has arrived for them, it
 // waits rather than evict a proven one. The newcomer that needs the place goes last: if all other connections have
-// carried work, it would go first, and no callback would get in.
+// carried work, it would go first, and no callback would get in. Where requests have arrived on all others and the
+// process is too slow to read them, a few newcomers beyond the limit stay, each after the whole wait.
 func (c *clientServer) makeRoom(newcomer *clientConn) {
 	for end := time.Now().Add(makeRoomWait); c.overLimit(); {
 		switch {
 		case c.evictOne(newcomer, (*clientConn).unproven):
 		case time.Now().Before(end) && c.hasUnproven(newcomer):
 			time.Sleep(makeRoomRetry)
-		case !c.evictOne(newcomer, anyConn):
+		case c.evictOne(newcomer, anyConn):
+		case c.withinOvershoot():
+			return
+		default:
 			newcomer.evictAnyway()
 			return
 		}
 	}
 }
 
+// withinOvershoot reports whether there are only a few connections beyond the limit.
+func (c *clientServer) withinOvershoot() bool {
+	limit := c.maxConns.Load()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return int64(len(c.conns)) <= limit+limit/overshootShare
+}
+
 // unproven reports whether the connection has never carried work or a callback, and has no request that is served.
 func (c *clientConn) unproven() bool {
 	c.mu.Lock()
