Making room waits for the lowest rank before it evicts a connection of a higher one

Cause: connections whose sessions had not begun to read were left out of the choice. Under load that were all newcomers, and slow clients were the only ones left in it.

--- a/internal/transport/body.go
+++ b/internal/transport/body.go
@@ -121,7 +121,7 @@
 // connections whose requests arrive slowly are evicted.
 func (c *clientServer) reserveRequest(bytes int64) bool {
 	for !c.memory.waiting.tryReserve(bytes) {
-		if !c.evictOne(nil, (*clientConn).arrivesSlowly) {
+		if !c.evictOne(nil, (*clientConn).arrivesSlowly, true) {
 			return false
 		}
 		time.Sleep(time.Millisecond) // the evicted connection releases its memory
--- a/internal/transport/connections.go
+++ b/internal/transport/connections.go
@@ -46,7 +46,7 @@
 		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ENOBUFS), errors.Is(err, syscall.ENOMEM):
 			slog.Warn("accept", "accept", err)
 			c.onConnError(err)
-			c.evictOne(nil, anyConn)
+			c.evictOne(nil, anyConn, true)
 			time.Sleep(acceptRetry)
 		default:
 			return conn, err
--- a/internal/transport/eviction.go
+++ b/internal/transport/eviction.go
@@ -60,22 +60,23 @@
 type evictionCandidate struct {
 	conn     *clientConn
 	priority evictionPriority
+	waits    bool // for bytes: it can be evicted
 }
 
 // anyConn makes evictOne consider all connections.
 func anyConn(*clientConn) bool { return true }
 
-// makeRoom evicts connections while there are too many. While unproven ones only read what has arrived for them, it
-// waits rather than evict a proven one. The newcomer that needs the place goes last: if all other connections have
+// makeRoom evicts connections while there are too many. While those of the lowest rank only read what has arrived
+// for them, it waits rather than evict one of a higher rank. The newcomer that needs the place goes last: if all other connections have
 // carried work, it would go first, and no callback would get in. Where requests have arrived on all others and the
 // process is too slow to read them, a few newcomers beyond the limit stay, each after the whole wait.
 func (c *clientServer) makeRoom(newcomer *clientConn) {
 	for end := time.Now().Add(makeRoomWait); c.overLimit(); {
+		late := time.Now().After(end)
 		switch {
-		case c.evictOne(newcomer, (*clientConn).unproven):
-		case time.Now().Before(end) && c.hasUnproven(newcomer):
+		case c.evictOne(newcomer, anyConn, late):
+		case !late:
 			time.Sleep(makeRoomRetry)
-		case c.evictOne(newcomer, anyConn):
 		case c.withinOvershoot():
 			return
 		default:
@@ -93,26 +94,21 @@
 	return int64(len(c.conns)) <= limit+limit/overshootShare
 }
 
-// unproven reports whether the connection has never carried work or a callback, and has no request that is served.
-func (c *clientConn) unproven() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.proven && !c.serving
-}
-
-// hasUnproven reports whether there is an unproven connection besides the newcomer.
-func (c *clientServer) hasUnproven(newcomer *clientConn) bool {
-	return slices.ContainsFunc(c.snapshot(), func(conn *clientConn) bool { return conn != newcomer && conn.unproven() })
-}
-
 // evictOne closes one of the eligible connections other than the newcomer: the first by rank, and the longest in
 // its rank. One with a part of its first request counts as a quarter as old as a silent one. Connections whose
 // request is being served stay; the node accepts no more of them than half of all descriptors. It returns false
-// if none can be closed at present.
-func (c *clientServer) evictOne(newcomer *clientConn, eligible func(*clientConn) bool) bool {
+// if none can be closed at present. Unless any rank will do, only those of the lowest rank that there is are closed.
+func (c *clientServer) evictOne(newcomer *clientConn, eligible func(*clientConn) bool, anyRank bool) bool {
 	c.evictionMu.Lock()
 	defer c.evictionMu.Unlock()
 	candidates := c.evictionCandidates(newcomer, eligible)
+	lowest := rankServing
+	for _, candidate := range candidates {
+		lowest = min(lowest, candidate.priority.rank)
+	}
+	candidates = slices.DeleteFunc(candidates, func(candidate evictionCandidate) bool {
+		return !candidate.waits || !anyRank && candidate.priority.rank > lowest
+	})
 	for range min(maxEvictionTries, len(candidates)) {
 		first := 0
 		for k := range candidates {
@@ -130,7 +126,7 @@
 	return false
 }
 
-// evictionCandidates returns the eligible connections that wait for bytes. They are valid while evictionMu is held.
+// evictionCandidates returns the eligible connections that are not being served. They are valid while evictionMu is held.
 func (c *clientServer) evictionCandidates(newcomer *clientConn, eligible func(*clientConn) bool) []evictionCandidate {
 	c.evictable = c.evictable[:0]
 	c.mu.Lock()
@@ -144,8 +140,8 @@
 		if p.sendsSlowly(now) {
 			slow++
 		}
-		if waits && candidate.conn != newcomer && p.rank < rankServing && eligible(candidate.conn) {
-			kept = append(kept, evictionCandidate{candidate.conn, p})
+		if candidate.conn != newcomer && p.rank < rankServing && eligible(candidate.conn) {
+			kept = append(kept, evictionCandidate{candidate.conn, p, waits})
 		}
 	}
 	clear(c.evictable[len(kept):]) // of connections that may be closed
--- a/internal/transport/transport.go
+++ b/internal/transport/transport.go
@@ -132,7 +132,7 @@
 		t.applyLimits()
 	}
 	t.limitMu.Unlock()
-	for t.clients.overLimit() && t.clients.evictOne(nil, anyConn) {
+	for t.clients.overLimit() && t.clients.evictOne(nil, anyConn, true) {
 	}
 }
 
